--- /dev/null
+++ b/hollyridge/rules.py
@@ -0,0 +1,526 @@
+"""All decisions of an assigner: which tasks its proxies send to, and how much to each.
+
+Called as `Assigner(bootstrap, seed).decide(now, events) -> orders`, once for all that came at one
+moment; nothing else goes in or out. Events, orders and `Bootstrap` are in `hollyridge/interface.py`.
+Each part decides one thing: Roster (what is listed, when to ask), Estimates (what is heard), Health (who
+lies low), Ramp (what cold tasks may get), Solver (better weights), Gate (when they are worth a push),
+Tables (what each zone's table should hold), Outbox (what leaves, when). docs/design.md gives reasons.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from random import Random
+
+from hollyridge.interface import (
+    AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine, Receipt,
+    RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+)
+
+HMAX = 0.2  # pushes a period in the long run
+V = 50.0  # weight of the gain against the price of a push
+NOISE_FLOOR = 0.05  # a smaller gain counts as none
+STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
+TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
+MEMORY = 0.75  # part of what was heard that still counts a period later
+PRIOR = 6.0  # tries' worth of trust in what the wider group shows
+
+
+class Roster:
+    """Which tasks are listed, when they last started, and when the list is asked for."""
+
+    def __init__(self, boot: Bootstrap, rng: Random) -> None:
+        self.boot, self.chance = boot, rng.random
+        self.state: list[int] = []
+        self.zone: list[int] = []
+        self.hint: list[float] = []
+        self.started: list[int] = []
+        self.ask_at: int | None = 0 if boot.subscribe else None
+        self.failures = 0
+
+    def hear(self, now: int, change: RosterChange) -> list[int]:
+        """Take a list event; returns the tasks that are new or have started again."""
+        if change.kind == ListKind.FAILED:
+            # A call failed or the watch broke: ask again after a growing, jittered wait.
+            if self.ask_at is None or self.ask_at > now:
+                self.failures += 1
+                wait = self.boot.period * min(2 ** self.failures, 16) / 2
+                self.ask_at = now + round(wait * (0.5 + self.chance()))
+            return []
+        if change.kind != ListKind.CACHED:
+            self.failures = 0
+            # The watch holds; renew it long before silence could mean that it was lost unheard.
+            self.ask_at = now + self.boot.ask_within if self.boot.subscribe else None
+        fresh = []
+        seen = set()
+        for task, zone, _sku, _cell, state, weight, started_at in change.entries:
+            while len(self.state) <= task:
+                self.state.append(TaskState.GONE)
+                self.zone.append(0)
+                self.hint.append(1.0)
+                self.started.append(-1)
+            seen.add(task)
+            was_open = self.state[task] == TaskState.READY
+            if state == TaskState.READY and (not was_open or started_at > self.started[task]):
+                fresh.append(task)
+            self.state[task] = state
+            if state != TaskState.GONE:
+                self.zone[task] = zone
+                self.hint[task] = weight if 0 < weight < 1e9 else 1.0
+                self.started[task] = max(started_at, self.started[task])
+        if change.kind != ListKind.DELTA:
+            for task in range(len(self.state)):
+                if task not in seen:  # a full list says by silence what has left
+                    self.state[task] = TaskState.GONE
+        return fresh
+
+    def open(self) -> list[int]:
+        return [i for i, state in enumerate(self.state) if state == TaskState.READY]
+
+    def calls(self, now: int) -> list[Order]:
+        if self.ask_at is None or now < self.ask_at:
+            return []
+        # The answer moves this on; an answer that never comes must not end the asking.
+        self.ask_at = now + self.boot.ask_within
+        return [Watch(True)]
+
+
+class Estimates:
+    """What the proxies of each zone met at each task, aged by period; demand by zone."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.boot, self.zones = boot, range(boot.zones)
+        shares = [m.criticality for m in boot.methods]
+        total = sum(shares) or 1.0
+        self.soft = sum(m.soft_deadline * c for m, c in zip(boot.methods, shares)) / total
+        self.abort_cost = sum(m.deadline * c for m, c in zip(boot.methods, shares)) / total
+        self.tries: list[list[float]] = [[] for _ in self.zones]
+        self.bad: list[list[float]] = [[] for _ in self.zones]
+        self.cost: list[list[float]] = [[] for _ in self.zones]
+        self.demand = [0.0] * boot.zones
+
+    def grow(self, tasks: int) -> None:
+        for rows in (self.tries, self.bad, self.cost):
+            for row in rows:
+                row.extend([0.0] * (tasks - len(row)))
+
+    def forget(self, task: int) -> None:
+        for rows in (self.tries, self.bad, self.cost):
+            for row in rows:
+                row[task] = 0.0
+
+    def hear(self, report: TrafficReport) -> None:
+        zone, task = report.zone, report.task
+        if zone >= self.boot.zones or task >= len(self.tries[0]) or report.over <= 0 or report.tries <= 0:
+            return
+        bad = min(report.bad, report.tries)
+        good = report.tries - bad if report.latency >= 0 else 0
+        self.tries[zone][task] += bad + good
+        self.bad[zone][task] += bad
+        self.cost[zone][task] += good * report.latency + bad * self.abort_cost
+
+    def age(self) -> None:
+        for rows in (self.tries, self.bad, self.cost):
+            for row in rows:
+                row[:] = [x * MEMORY for x in row]
+
+    def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
+        """A figure per try for each (zone of proxies, task), from little news.
+
+        A task with few tries is judged by what all zones met at it and by what this zone met in the
+        task's zone; one with none counts as average.
+        """
+        tries = self.tries
+        n_all = sum(tries[z][i] for z in self.zones for i in tasks)
+        mean = (sum(rows[z][i] for z in self.zones for i in tasks) + PRIOR * start) / (n_all + PRIOR)
+        pooled = {}
+        for i in tasks:
+            n = sum(tries[z][i] for z in self.zones)
+            pooled[i] = (sum(rows[z][i] for z in self.zones) + PRIOR * mean) / (n + PRIOR)
+        out = []
+        for z in self.zones:
+            met = [PRIOR * mean] * self.boot.zones
+            expected = [PRIOR * mean] * self.boot.zones
+            for i in tasks:
+                met[home[i]] += rows[z][i]
+                expected[home[i]] += tries[z][i] * pooled[i]
+            row = [mean] * len(tries[z])
+            for i in tasks:
+                ratio = met[home[i]] / expected[home[i]] if expected[home[i]] > 0 else 1.0
+                row[i] = (rows[z][i] + PRIOR * pooled[i] * ratio) / (tries[z][i] + PRIOR)
+            out.append(row)
+        return out
+
+
+class Health:
+    """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step.
+
+    Goes by what a zone's own proxies met, against the better part of the fleet as they see it: fast
+    errors, hangs, silence and a cut look alike here and are met alike; overload, which all tasks show,
+    cuts nobody. Judged by zone, since a cut shows only from one side.
+    """
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.factor: list[list[float]] = [[] for _ in range(boot.zones)]
+
+    def grow(self, tasks: int) -> None:
+        for row in self.factor:
+            row.extend([1.0] * (tasks - len(row)))
+
+    def judge(self, est: Estimates, tasks: list[int], home: list[int]) -> None:
+        if not tasks:
+            return
+        ratios = est.spread(est.bad, 0.0, tasks, home)
+        for zone, factor in enumerate(self.factor):
+            ratio = ratios[zone]
+            ranked = sorted(ratio[i] for i in tasks)
+            base = ranked[len(ranked) // 5]
+            for i in tasks:
+                if ratio[i] > base + 0.25:
+                    factor[i] = max(TRICKLE, factor[i] * 0.25)
+                elif factor[i] < 1.0:
+                    heard = est.tries[zone][i] >= 1.0
+                    factor[i] = min(1.0, factor[i] * (1.5 if heard else 1.15))
+
+
+class Ramp:
+    """What part of its usual share a task may get, by the time since its start."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.boot = boot
+
+    def part(self, now: int, started: int) -> float:
+        """From the stated floor up to all of it, in steps of an eighth."""
+        if started <= 0 or now - started >= self.boot.warm_up:
+            return 1.0
+        floor = self.boot.cold_from
+        part = floor + (1 - floor) * max(0, now - started) / self.boot.warm_up
+        return max(floor, int(part * 8) / 8)
+
+
+class Solver:
+    """The feedback loop: each step moves weights by at most a tenth towards tasks heard to be quicker."""
+
+    def __init__(self, boot: Bootstrap, est: Estimates) -> None:
+        self.share = 1.0 / boot.assigners
+        # What crossing zones costs, in terms of latency: its price is a part of an RPC's criticality,
+        # which is what an RPC that misses its soft deadline loses.
+        self.toll = boot.cross_zone_price * est.soft
+
+    def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
+        return {i: heard[i] + (self.toll if home[i] != zone else 0.0) for i in tasks}
+
+    def step(self, weights: list[float], cost: dict[int, float], tasks: list[int]) -> None:
+        total = sum(weights[i] for i in tasks)
+        if len(tasks) < 2 or total <= 0:
+            return
+        mean = total / len(tasks)
+        average = sum(weights[i] * cost[i] for i in tasks) / total
+        if average <= 0:
+            return
+        moves = {}
+        for i in tasks:
+            pull = max(-1.0, min(1.0, 2 * (average - cost[i]) / average))
+            moves[i] = max(pull * STEP * self.share * max(weights[i], mean), 0.01 * mean - weights[i])
+        up = sum(m for m in moves.values() if m > 0)
+        down = -sum(m for m in moves.values() if m < 0)
+        if up <= 0 or down <= 0:
+            return
+        both = min(up, down)  # what some gain others give, so that the whole stays as it is
+        for i in tasks:
+            weights[i] += moves[i] * both / (up if moves[i] > 0 else down)
+
+
+class Gate:
+    """The Greedy Policy: push iff U < V x gain, then U <- [U - hmax]+ + u."""
+
+    def __init__(self) -> None:
+        self.price = 0.0
+
+    def decide(self, published: float, current: float, held: bool) -> bool:
+        gain = (published - current) / published if published > 0 else 0.0
+        push = not held and self.price < V * (gain if gain >= NOISE_FLOOR else 0.0)
+        self.price = max(self.price - HMAX, 0.0) + push
+        return push
+
+
+class Tables:
+    """One shared table a zone: learnt weights, what caps leave of them, and what was last ordered."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.boot = boot
+        self.learnt: list[list[float]] = [[] for _ in range(boot.zones)]
+        self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
+        self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
+
+    def grow(self, tasks: int) -> None:
+        for row in self.learnt:
+            row.extend([0.0] * (tasks - len(row)))
+
+    def start(self, roster: Roster, task: int, peers: list[int]) -> None:
+        """A task that has just appeared begins as its zone's tasks stand in each table."""
+        mean_hint = sum(roster.hint[i] for i in peers) / len(peers) if peers else 1.0
+        for zone, row in enumerate(self.learnt):
+            kin = [row[i] for i in peers if roster.zone[i] == roster.zone[task] and row[i] > 0]
+            near = 1.0 if roster.zone[task] == zone else 0.5
+            row[task] = sum(kin) / len(kin) if kin else near * roster.hint[task] / mean_hint
+
+    def compose(self, zone: int, tasks: list[int], ramp: list[float], health: list[float]) -> tuple:
+        """Lines wanted in a zone's table, and the cap that each was held under."""
+        learnt = self.learnt[zone]
+        lines = {i: learnt[i] * health[i] for i in tasks}
+        caps = {i: health[i] * ramp[i] for i in tasks}
+        warm = [lines[i] for i in tasks if ramp[i] >= 1.0]
+        # A cold task gets at most its part of an even share of what the warm ones carry, however little
+        # the others in its zone weigh; with nobody warm all are held down alike.
+        even = sum(warm) / len(tasks) if warm else None
+        for i in tasks:
+            if ramp[i] < 1.0:
+                lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
+        return {i: max(w, 1e-4) for i, w in lines.items()}, caps
+
+
+def retry_way(method: MethodTerms) -> int:
+    """How a proxy may try again without an effect happening twice.
+
+    After proof that the first never ran it is always safe.
+    """
+    return 1
+
+
+class Outbox:
+    """The only part that emits orders: by urgency, merged, within the channel's and the proxies' limits."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.boot = boot
+        self.waiting = 0.0  # lines thought to wait
+        self.pace = boot.lines_per_s
+        self.at = 0
+        self.mark = 0
+        self.marks: dict[int, float] = {}  # lines that waited when a mark was sent
+        self.sent: dict[int, deque[int]] = {}  # when each proxy was written to
+
+    def drain(self, now: int) -> None:
+        self.waiting = max(0.0, self.waiting - self.pace * (now - self.at) / 1e6)
+        self.at = now
+        self.pace = min(self.boot.lines_per_s, self.pace * 1.0005)
+
+    def receipt(self, receipt: Receipt) -> None:
+        """Learn the channel's true pace from how long a message took beyond its way."""
+        lines = self.marks.get(receipt.mark % 65536)
+        if lines is None:
+            return
+        queued = receipt.took - self.boot.worst_transit
+        if queued > 0 and lines > 0:
+            seen = lines / (queued / 1e6)
+            if seen < self.pace:
+                self.waiting *= min(4.0, self.pace / max(seen, 1.0))
+                self.pace = max(seen, self.boot.lines_per_s / 16)
+        elif receipt.took < self.boot.transit:
+            self.pace = min(self.boot.lines_per_s, self.pace * 1.1)
+
+    def room(self, lines: float, part: float) -> bool:
+        return self.waiting + lines <= part * self.boot.most_waiting
+
+    def may_write(self, now: int, proxies: list[int], part: float) -> bool:
+        """Whether one more message to each stays within this part of what the span allows."""
+        most = self.boot.messages_most
+        if most <= 0:
+            return True
+        since = now - self.boot.counted_over - self.boot.worst_transit
+        for proxy in proxies:
+            times = self.sent.setdefault(proxy, deque())
+            while times and times[0] < since:
+                times.popleft()
+            if len(times) + 1 > part * most:
+                return False
+        return True
+
+    def book(self, now: int, proxies: list[int], lines: float) -> None:
+        self.waiting += (lines + self.boot.overhead + 1) * len(proxies)
+        if self.boot.messages_most > 0:
+            for proxy in proxies:
+                self.sent.setdefault(proxy, deque()).append(now)
+
+
+class Assigner:
+    """One instance. `decide` takes what happened and returns what is to be done."""
+
+    def __init__(self, boot: Bootstrap, seed: int) -> None:
+        self.boot = boot
+        rng = Random(seed)
+        self.roster = Roster(boot, rng)
+        self.est = Estimates(boot)
+        self.health = Health(boot)
+        self.ramp = Ramp(boot)
+        self.solver = Solver(boot, self.est)
+        self.gate = Gate()
+        self.tables = Tables(boot)
+        self.outbox = Outbox(boot)
+        self.proxy_zone: dict[int, int] = {}
+        self.rate: dict[int, float] = {}
+        self.bound: list[list[int]] = [[] for _ in range(boot.zones)]
+        self.joining: list[int] = []
+        self.next_period: int | None = None
+        self.levels: list[bool] = [False] * boot.zones
+        self.token = 0
+
+    def decide(self, now: int, events: list[Event]) -> list[Order]:
+        orders: list[Order] = []
+        self.outbox.drain(now)
+        listed = False
+        for event in events:
+            kind = type(event)
+            if kind is TrafficReport:
+                self.est.hear(event)
+            elif kind is RosterChange:
+                listed = True
+                self.listen(now, event)
+            elif kind is Receipt:
+                self.outbox.receipt(event)
+            elif kind is Joined:
+                self.leave(event.proxy)
+                if event.zone < self.boot.zones:
+                    self.proxy_zone[event.proxy] = event.zone
+                    self.rate[event.proxy] = max(event.rate, 0.0)
+                    self.joining.append(event.proxy)
+            elif kind is Left:
+                self.leave(event.proxy)
+        if self.next_period is None:
+            self.next_period = now
+        if self.boot.partitions:
+            return orders
+        push = False
+        period = now >= self.next_period
+        if period:
+            self.next_period = max(self.next_period + self.boot.period, now + self.boot.period // 2)
+            push = self.improve(now)
+        orders += self.roster.calls(now)
+        orders += self.publish(now, period, push, listed)
+        if period or any(type(e) is Woke for e in events) or listed:
+            soon = self.next_period
+            if self.joining:
+                soon = min(soon, now + self.boot.period // 8)
+            if self.roster.ask_at is not None:
+                soon = min(soon, max(self.roster.ask_at, now + 1))
+            self.token += 1
+            orders.append(WakeAt(self.token, max(soon - now, 1000)))
+        return orders
+
+    def listen(self, now: int, change: RosterChange) -> None:
+        fresh = self.roster.hear(now, change)
+        tasks = len(self.roster.state)
+        for part in (self.est, self.health, self.tables):
+            part.grow(tasks)
+        fresh_set = set(fresh)
+        peers = [i for i in self.roster.open() if i not in fresh_set] or self.roster.open()
+        for task in fresh:
+            self.est.forget(task)
+            for row in self.health.factor:
+                row[task] = 1.0
+            self.tables.start(self.roster, task, peers)
+
+    def leave(self, proxy: int) -> None:
+        zone = self.proxy_zone.pop(proxy, None)
+        if zone is None:
+            return
+        if proxy in self.bound[zone]:
+            self.bound[zone].remove(proxy)
+        if proxy in self.joining:
+            self.joining.remove(proxy)
+
+    def improve(self, now: int) -> bool:
+        """One report period: judge, step, and ask the gate."""
+        roster, est = self.roster, self.est
+        tasks = roster.open()
+        if not tasks:
+            return self.gate.decide(0.0, 0.0, True)
+        self.health.judge(est, tasks, roster.zone)
+        heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
+        est.age()
+        published = current = 0.0
+        for zone in range(self.boot.zones):
+            cost = self.solver.costs(zone, heard[zone], tasks, roster.zone)
+            self.solver.step(self.tables.learnt[zone], cost, tasks)
+            lines, _ = self.wanted(now, zone, tasks)
+            before = self.tables.published[zone]
+            demand = sum(self.rate[p] for p in self.bound[zone])
+            total_before = sum(before.get(i, 0.0) for i in tasks)
+            if demand > 0 and total_before > 0:
+                published += demand * sum(before.get(i, 0.0) * cost[i] for i in tasks) / total_before
+                current += demand * sum(lines[i] * cost[i] for i in tasks) / sum(lines.values())
+        return self.gate.decide(published, current, not self.outbox.room(0, 0.5))
+
+    def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
+        ramp = [self.ramp.part(now, started) for started in self.roster.started]
+        return self.tables.compose(zone, tasks, ramp, self.health.factor[zone])
+
+    def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
+        """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
+        box, tables = self.outbox, self.tables
+        if not (period or listed or self.joining):
+            return []
+        tasks = self.roster.open()
+        orders: list[Order] = []
+        written = False
+        for zone in range(self.boot.zones):
+            lines, caps = self.wanted(now, zone, tasks)
+            before, cap_before = tables.published[zone], tables.capped[zone]
+            proxies = self.bound[zone]
+            first = not before
+            mean = sum(lines.values()) / len(lines) if lines else 1.0
+            gone = [i for i in before if i not in lines]
+            # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
+            moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]]
+            if push:
+                listed_moves = set(moved)
+                moved += [i for i in lines if i not in listed_moves
+                          and abs(lines[i] - before[i]) > STEP * max(before[i], STEP * mean)]
+            if gone and not lines:
+                moved = []
+            n = len(proxies)
+            head = box.boot.overhead + 1
+            size = n * (head + len(gone) + len(moved))
+            if n and not box.room(size, 0.5) or not box.may_write(now, proxies, 0.6):
+                moved = [i for i in moved if not lines[i] > before.get(i, 0.0)] if gone else []
+            if first and not n:
+                moved = list(lines)
+            if not (gone or moved):
+                continue
+            if n and not box.room(n * (head + len(gone) + len(moved)), 0.95):
+                continue
+            for i in gone:
+                orders.append(PutLine(0.0, i, zone))
+                del before[i]
+                cap_before.pop(i, None)
+            for i in moved:
+                orders.append(PutLine(lines[i], i, zone))
+                before[i], cap_before[i] = lines[i], caps[i]
+            if n:
+                box.book(now, proxies, len(gone) + len(moved))
+                written = True
+        late = []
+        for proxy in self.joining:
+            zone = self.proxy_zone[proxy]
+            size = len(tables.published[zone]) + 2 + len(self.boot.methods)
+            if not tables.published[zone] or not box.room(size + box.boot.overhead + 1, 0.9):
+                late.append(proxy)
+                continue
+            orders += self.set_levels(zone)
+            orders.append(Attach(proxy, zone, 0))
+            self.bound[zone].append(proxy)
+            box.book(now, [proxy], size)
+            written = True
+        self.joining = late
+        if written:
+            box.mark = (box.mark + 1) % 65536
+            box.marks[box.mark] = box.waiting
+            box.marks.pop((box.mark - 1000) % 65536, None)
+            orders.append(AskReceipt(box.mark, False))
+        return orders
+
+    def set_levels(self, zone: int) -> list[Order]:
+        if self.levels[zone]:
+            return []
+        self.levels[zone] = True
+        return [SetLevel(zone, 1 << k, 1.0, retry_way(m)) for k, m in enumerate(self.boot.methods)]
