Levels by stress: let less in while tries end bad or late throughout

Cause: after a burst the fleet works on RPCs already given up (2.2 to 3.5 attempts an RPC) and never recovers.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -13,8 +13,8 @@
 from random import Random
 
 from hollyridge.interface import (
-    AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine, Receipt,
-    RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine,
+    Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -97,7 +97,7 @@
         self.tries: list[list[float]] = [[] for _ in self.zones]
         self.bad: list[list[float]] = [[] for _ in self.zones]
         self.cost: list[list[float]] = [[] for _ in self.zones]
-        self.demand = [0.0] * boot.zones
+        self.latest = [0.0, 0.0, 0.0]  # tries, bad ones and good latency heard in this period
 
     def grow(self, tasks: int) -> None:
         for rows in (self.tries, self.bad, self.cost):
@@ -118,11 +118,22 @@
         self.tries[zone][task] += bad + good
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
+        for k, figure in enumerate((bad + good, bad, good * report.latency)):
+            self.latest[k] += figure
 
     def age(self) -> None:
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[:] = [x * MEMORY for x in row]
+        self.latest = [0.0, 0.0, 0.0]
+
+    def stress(self) -> float:
+        """Above 1: tries end bad or late throughout, which more RPCs would only make worse."""
+        tries, bad, slow = self.latest
+        if tries < PRIOR:
+            return 0.0
+        late = slow / max(tries - bad, 1.0) / self.soft
+        return late / 0.6 + bad / tries / 0.25
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
@@ -280,6 +291,28 @@
         return {i: max(w, 1e-4) for i, w in lines.items()}, caps
 
 
+class Levels:
+    """What part of each method is let in, and how proxies may try again."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.boot = boot
+        self.open = 1.0
+        # One row a method: its criticality's rank from the lowest, and its way to try again.
+        self.rows = [(k, retry_way(m)) for k, m in enumerate(boot.methods)]
+
+    def move(self, stress: float) -> None:
+        """Down quickly while the fleet is in a jam, up slowly: the jam must drain before more comes in."""
+        if self.boot.admission == Admission.OFF:
+            return
+        if stress > 1.0:
+            self.open = max(0.1, self.open * (1 - 0.4 * min(1.0, stress - 1.0)))
+        elif stress < 0.8:
+            self.open = min(1.0, self.open + 0.05)
+
+    def wanted(self) -> dict[int, tuple[float, int]]:
+        return {k: (round(self.open * 20) / 20, way) for k, way in self.rows}
+
+
 def retry_way(method: MethodTerms) -> int:
     """How a proxy may try again without an effect happening twice.
 
@@ -362,7 +395,8 @@
         self.bound: list[list[int]] = [[] for _ in range(boot.zones)]
         self.joining: list[int] = []
         self.next_period: int | None = None
-        self.levels: list[bool] = [False] * boot.zones
+        self.levels = Levels(boot)
+        self.level_sent: list[dict] = [{} for _ in range(boot.zones)]
         self.token = 0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
@@ -437,6 +471,7 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, roster.zone)
         heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
+        self.levels.move(est.stress())
         est.age()
         published = current = 0.0
         for zone in range(self.boot.zones):
@@ -485,7 +520,9 @@
                 moved = [i for i in moved if not lines[i] > before.get(i, 0.0)] if gone else []
             if first and not n:
                 moved = list(lines)
-            if not (gone or moved):
+            levels = self.moved_levels(zone)
+            orders += levels
+            if not (gone or moved or levels):
                 continue
             if n and not box.room(n * (head + len(gone) + len(moved)), 0.95):
                 continue
@@ -497,7 +534,7 @@
                 orders.append(PutLine(lines[i], i, zone))
                 before[i], cap_before[i] = lines[i], caps[i]
             if n:
-                box.book(now, proxies, len(gone) + len(moved))
+                box.book(now, proxies, len(gone) + len(moved) + len(levels))
                 written = True
         late = []
         for proxy in self.joining:
@@ -506,7 +543,6 @@
             if not tables.published[zone] or not box.room(size + box.boot.overhead + 1, 0.9):
                 late.append(proxy)
                 continue
-            orders += self.set_levels(zone)
             orders.append(Attach(proxy, zone, 0))
             self.bound[zone].append(proxy)
             box.book(now, [proxy], size)
@@ -519,8 +555,10 @@
             orders.append(AskReceipt(box.mark, False))
         return orders
 
-    def set_levels(self, zone: int) -> list[Order]:
-        if self.levels[zone]:
-            return []
-        self.levels[zone] = True
-        return [SetLevel(zone, 1 << k, 1.0, retry_way(m)) for k, m in enumerate(self.boot.methods)]
+    def moved_levels(self, zone: int) -> list[Order]:
+        sent, orders = self.level_sent[zone], []
+        for method, (amount, way) in self.levels.wanted().items():
+            if sent.get(method, (1.0, self.boot.retry_default)) != (amount, way):
+                sent[method] = (amount, way)
+                orders.append(SetLevel(zone, 1 << method, amount, way))
+        return orders
