--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -21,6 +21,9 @@
 V = 50.0  # weight of the gain against the price of a push
 NOISE_FLOOR = 0.05  # a smaller gain counts as none
 STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
+LEASH = 1.0  # how strongly a weight is drawn back to the task's size
+START_REACH = 0.3  # part of a line's weight in the tables of other zones, at the start
+LEAST_REACH = 0.02  # and at the least
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
@@ -210,36 +213,57 @@
 
 
 class Solver:
-    """The feedback loop: each step moves weights by at most a tenth towards tasks heard to be quicker."""
+    """The feedback loop on heard latency: a line's weight is its size x the task's skill x the zone's reach.
+
+    Skill is learnt once for all tables, against the tasks of its own zone; reach once for each pair of
+    zones. So little news moves many lines, and a step of the two together moves none by over a tenth.
+    """
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
+        self.zones, self.est = range(boot.zones), est
         self.share = 1.0 / boot.assigners
         # What crossing zones costs, in terms of latency: its price is a part of an RPC's criticality,
         # which is what an RPC that misses its soft deadline loses.
         self.toll = boot.cross_zone_price * est.soft
+        self.skill: list[float] = []
+        self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
+
+    def grow(self, tasks: int) -> None:
+        self.skill.extend([1.0] * (tasks - len(self.skill)))
 
     def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
         return {i: heard[i] + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
-    def step(self, weights: list[float], cost: dict[int, float], tasks: list[int]) -> None:
-        total = sum(weights[i] for i in tasks)
-        if len(tasks) < 2 or total <= 0:
-            return
-        mean = total / len(tasks)
-        average = sum(weights[i] * cost[i] for i in tasks) / total
-        if average <= 0:
-            return
-        moves = {}
-        for i in tasks:
-            pull = max(-1.0, min(1.0, 2 * (average - cost[i]) / average))
-            moves[i] = max(pull * STEP * self.share * max(weights[i], mean), 0.01 * mean - weights[i])
-        up = sum(m for m in moves.values() if m > 0)
-        down = -sum(m for m in moves.values() if m < 0)
-        if up <= 0 or down <= 0:
-            return
-        both = min(up, down)  # what some gain others give, so that the whole stays as it is
-        for i in tasks:
-            weights[i] += moves[i] * both / (up if moves[i] > 0 else down)
+    def step(self, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
+        for there in self.zones:
+            kin = [i for i in tasks if home[i] == there]
+            if not kin:
+                continue
+            cost = {i: sum(costs[z][i] for z in self.zones) for i in kin}
+            total = sum(size[i] * self.skill[i] for i in kin)
+            average = sum(size[i] * self.skill[i] * cost[i] for i in kin) / total
+            for i in kin:
+                # A leash keeps a weight near the task's size: chased all the way, equal latency piles work
+                # on the quickest until a burst tips them into a jam.
+                pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
+                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * STEP * 0.3 * self.share
+        for z in self.zones:
+            mass, bill = [0.0] * len(self.zones), [0.0] * len(self.zones)
+            for i in tasks:
+                w = size[i] * self.skill[i]
+                mass[home[i]] += w
+                bill[home[i]] += w * costs[z][i]
+            total = sum(m * r for m, r in zip(mass, self.reach[z]))
+            average = sum(b * r for b, r in zip(bill, self.reach[z])) / total if total > 0 else 0.0
+            for there in self.zones:
+                if mass[there] > 0 and average > 0:
+                    pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
+                    self.reach[z][there] *= 1 + pull * STEP * 0.65 * self.share
+            most = max(self.reach[z])
+            self.reach[z] = [max(r / most, LEAST_REACH) for r in self.reach[z]]
+
+    def weight(self, zone: int, task: int, size: list[float], home: list[int]) -> float:
+        return size[task] * self.skill[task] * self.reach[zone][home[task]]
 
 
 class Gate:
@@ -259,33 +283,18 @@
     """One shared table a zone: learnt weights, what caps leave of them, and what was last ordered."""
 
     def __init__(self, boot: Bootstrap) -> None:
-        self.boot = boot
-        self.learnt: list[list[float]] = [[] for _ in range(boot.zones)]
         self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
         self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
 
-    def grow(self, tasks: int) -> None:
-        for row in self.learnt:
-            row.extend([0.0] * (tasks - len(row)))
-
-    def start(self, roster: Roster, task: int, peers: list[int]) -> None:
-        """A task that has just appeared begins as its zone's tasks stand in each table."""
-        mean_hint = sum(roster.hint[i] for i in peers) / len(peers) if peers else 1.0
-        for zone, row in enumerate(self.learnt):
-            kin = [row[i] for i in peers if roster.zone[i] == roster.zone[task] and row[i] > 0]
-            near = 1.0 if roster.zone[task] == zone else 0.5
-            row[task] = sum(kin) / len(kin) if kin else near * roster.hint[task] / mean_hint
-
-    def compose(self, zone: int, tasks: list[int], ramp: list[float], health: list[float]) -> tuple:
+    def compose(self, learnt: dict[int, float], ramp: list[float], health: list[float]) -> tuple[dict, dict]:
         """Lines wanted in a zone's table, and the cap that each was held under."""
-        learnt = self.learnt[zone]
-        lines = {i: learnt[i] * health[i] for i in tasks}
-        caps = {i: health[i] * ramp[i] for i in tasks}
-        warm = [lines[i] for i in tasks if ramp[i] >= 1.0]
+        lines = {i: w * health[i] for i, w in learnt.items()}
+        caps = {i: health[i] * ramp[i] for i in learnt}
+        warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
         # A cold task gets at most its part of an even share of what the warm ones carry, however little
         # the others in its zone weigh; with nobody warm all are held down alike.
-        even = sum(warm) / len(tasks) if warm else None
-        for i in tasks:
+        even = sum(warm) / len(lines) if warm else None
+        for i in lines:
             if ramp[i] < 1.0:
                 lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
         return {i: max(w, 1e-4) for i, w in lines.items()}, caps
@@ -444,15 +453,13 @@
     def listen(self, now: int, change: RosterChange) -> None:
         fresh = self.roster.hear(now, change)
         tasks = len(self.roster.state)
-        for part in (self.est, self.health, self.tables):
+        for part in (self.est, self.health, self.solver):
             part.grow(tasks)
-        fresh_set = set(fresh)
-        peers = [i for i in self.roster.open() if i not in fresh_set] or self.roster.open()
         for task in fresh:
             self.est.forget(task)
+            self.solver.skill[task] = 1.0
             for row in self.health.factor:
                 row[task] = 1.0
-            self.tables.start(self.roster, task, peers)
 
     def leave(self, proxy: int) -> None:
         zone = self.proxy_zone.pop(proxy, None)
@@ -474,9 +481,9 @@
         self.levels.move(est.stress())
         est.age()
         published = current = 0.0
-        for zone in range(self.boot.zones):
-            cost = self.solver.costs(zone, heard[zone], tasks, roster.zone)
-            self.solver.step(self.tables.learnt[zone], cost, tasks)
+        costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
+        self.solver.step(costs, roster.hint, tasks, roster.zone)
+        for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
             before = self.tables.published[zone]
             demand = sum(self.rate[p] for p in self.bound[zone])
@@ -488,7 +495,8 @@
 
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
-        return self.tables.compose(zone, tasks, ramp, self.health.factor[zone])
+        learnt = {i: self.solver.weight(zone, i, self.roster.hint, self.roster.zone) for i in tasks}
+        return self.tables.compose(learnt, ramp, self.health.factor[zone])
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
