--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -190,11 +190,13 @@
             ranked = sorted(ratio[i] for i in tasks)
             base = ranked[len(ranked) // 5]
             for i in tasks:
-                if ratio[i] > base + 0.25:
+                # Half of all tries: a slow task whose tries run out of time is the solver's business. Cut
+                # for less, one after the other hands its work to the rest until all are in a jam.
+                if ratio[i] > base + 0.5:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
                     heard = est.tries[zone][i] >= 1.0
-                    factor[i] = min(1.0, factor[i] * (1.5 if heard else 1.15))
+                    factor[i] = min(1.0, factor[i] * (2.0 if heard else 1.25))
 
 
 class Ramp:
