--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -100,7 +100,6 @@
         self.tries: list[list[float]] = [[] for _ in self.zones]
         self.bad: list[list[float]] = [[] for _ in self.zones]
         self.cost: list[list[float]] = [[] for _ in self.zones]
-        self.latest = [0.0, 0.0, 0.0]  # tries, bad ones and good latency heard in this period
 
     def grow(self, tasks: int) -> None:
         for rows in (self.tries, self.bad, self.cost):
@@ -121,22 +120,25 @@
         self.tries[zone][task] += bad + good
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
-        for k, figure in enumerate((bad + good, bad, good * report.latency)):
-            self.latest[k] += figure
 
     def age(self) -> None:
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[:] = [x * MEMORY for x in row]
-        self.latest = [0.0, 0.0, 0.0]
 
-    def stress(self) -> float:
-        """Above 1: tries end bad or late throughout, which more RPCs would only make worse."""
-        tries, bad, slow = self.latest
-        if tries < PRIOR:
-            return 0.0
-        late = slow / max(tries - bad, 1.0) / self.soft
-        return late / 0.6 + bad / tries / 0.25
+    def stress(self, tasks: list[int]) -> float:
+        """Above 1: at most tasks tries end bad or late, which more RPCs would only make worse.
+
+        The median task, so that a few that hang or lag are left to health and the solver.
+        """
+        found = []
+        for i in tasks:
+            tries = sum(self.tries[z][i] for z in self.zones)
+            bad = sum(self.bad[z][i] for z in self.zones)
+            if tries >= 1.0:
+                slow = sum(self.cost[z][i] for z in self.zones) - bad * self.abort_cost
+                found.append(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25)
+        return sorted(found)[len(found) // 2] if 2 * len(found) > len(tasks) else 0.0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
@@ -480,7 +482,7 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, roster.zone)
         heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
-        self.levels.move(est.stress())
+        self.levels.move(est.stress(tasks))
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
