--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -100,8 +100,10 @@
         self.tries: list[list[float]] = [[] for _ in self.zones]
         self.bad: list[list[float]] = [[] for _ in self.zones]
         self.cost: list[list[float]] = [[] for _ in self.zones]
+        self.fresh: list[list[float]] = []  # tries, bad ones and good latency, of hardly more than a period
 
     def grow(self, tasks: int) -> None:
+        self.fresh.extend([0.0] * 3 for _ in range(tasks - len(self.fresh)))
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row.extend([0.0] * (tasks - len(row)))
@@ -120,11 +122,15 @@
         self.tries[zone][task] += bad + good
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
+        for k, figure in enumerate((bad + good, bad, good * report.latency)):
+            self.fresh[task][k] += figure
 
     def age(self) -> None:
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[:] = [x * MEMORY for x in row]
+        for row in self.fresh:
+            row[:] = [x * MEMORY ** 4 for x in row]
 
     def stress(self, tasks: list[int]) -> float:
         """Above 1: at most tasks tries end bad or late, which more RPCs would only make worse.
@@ -133,10 +139,8 @@
         """
         found = []
         for i in tasks:
-            tries = sum(self.tries[z][i] for z in self.zones)
-            bad = sum(self.bad[z][i] for z in self.zones)
+            tries, bad, slow = self.fresh[i]
             if tries >= 1.0:
-                slow = sum(self.cost[z][i] for z in self.zones) - bad * self.abort_cost
                 found.append(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25)
         return sorted(found)[len(found) // 2] if 2 * len(found) > len(tasks) else 0.0
 
