--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -133,16 +133,16 @@
             row[:] = [x * MEMORY ** 4 for x in row]
 
     def stress(self, tasks: list[int]) -> float:
-        """Above 1: at most tasks tries end bad or late, which more RPCs would only make worse.
+        """Above 1: at many tasks tries end bad or late, which more RPCs would only make worse.
 
-        The median task, so that a few that hang or lag are left to health and the solver.
+        The task two thirds up, so that a few that hang or lag are left to health and the solver.
         """
         found = []
         for i in tasks:
             tries, bad, slow = self.fresh[i]
             if tries >= 1.0:
                 found.append(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25)
-        return sorted(found)[len(found) // 2] if 2 * len(found) > len(tasks) else 0.0
+        return sorted(found)[len(found) * 2 // 3] if 2 * len(found) > len(tasks) else 0.0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
