--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -26,6 +26,7 @@
 LEAST_REACH = 0.02  # and at the least
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
+SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
 
 
@@ -100,15 +101,24 @@
         self.tries: list[list[float]] = [[] for _ in self.zones]
         self.bad: list[list[float]] = [[] for _ in self.zones]
         self.cost: list[list[float]] = [[] for _ in self.zones]
+        self.util_at = boot.load_names.index("util") if "util" in boot.load_names else None
+        self.util: list[float] = []  # newest heard of each task, -1 once used
+        self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
+        self.busy: list[float] = []
         self.fresh: list[list[float]] = []  # tries, bad ones and good latency, of hardly more than a period
 
     def grow(self, tasks: int) -> None:
-        self.fresh.extend([0.0] * 3 for _ in range(tasks - len(self.fresh)))
+        more = tasks - len(self.fresh)
+        self.fresh.extend([0.0] * 3 for _ in range(more))
+        self.util.extend([-1.0] * more)
+        self.served.extend([0.0] * more)
+        self.busy.extend([0.0] * more)
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row.extend([0.0] * (tasks - len(row)))
 
     def forget(self, task: int) -> None:
+        self.served[task] = self.busy[task] = 0.0
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[task] = 0.0
@@ -122,15 +132,39 @@
         self.tries[zone][task] += bad + good
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
+        if self.util_at is not None and len(report.load) > self.util_at:
+            util = report.load[self.util_at]
+            self.util[task] = util if 0.0 <= util <= 1.5 else -1.0
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
             self.fresh[task][k] += figure
 
+    def sizes(self, hint: list[float], tasks: list[int], warm: list[bool]) -> list[float]:
+        """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
+
+        Where load reports tell no utilisation the listed size stands and latency has to teach the rest.
+        """
+        for i in tasks:
+            if self.util[i] >= 0.0 and warm[i]:
+                self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
+                self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
+            self.util[i] = -1.0
+        size, busy = sum(hint[i] for i in tasks), sum(self.busy[i] for i in tasks)
+        served = sum(self.served[i] for i in tasks)
+        if busy <= 0 or served <= 0:
+            return hint
+        unit = served / sum(self.busy[i] * hint[i] for i in tasks)
+        found = list(hint)
+        for i in tasks:
+            found[i] = (self.served[i] + hint[i] * unit) / (self.busy[i] + 1.0)
+        scale = size / sum(found[i] for i in tasks)
+        return [x * scale for x in found]
+
     def age(self) -> None:
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[:] = [x * MEMORY for x in row]
         for row in self.fresh:
-            row[:] = [x * MEMORY ** 4 for x in row]
+            row[:] = [0.0, 0.0, 0.0]
 
     def stress(self, tasks: list[int]) -> float:
         """Above 1: at many tasks tries end bad or late, which more RPCs would only make worse.
@@ -234,11 +268,17 @@
         # which is what an RPC that misses its soft deadline loses.
         self.toll = boot.cross_zone_price * est.soft
         self.skill: list[float] = []
+        self.lines: list[dict[int, float]] = [{} for _ in self.zones]
         self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
 
     def grow(self, tasks: int) -> None:
         self.skill.extend([1.0] * (tasks - len(self.skill)))
 
+    def restart(self, task: int) -> None:
+        self.skill[task] = 1.0
+        for own in self.lines:
+            own.pop(task, None)
+
     def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
         return {i: heard[i] + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
@@ -254,7 +294,7 @@
                 # A leash keeps a weight near the task's size: chased all the way, equal latency piles work
                 # on the quickest until a burst tips them into a jam.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
-                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * STEP * 0.3 * self.share
+                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * STEP / 3 * self.share
         for z in self.zones:
             mass, bill = [0.0] * len(self.zones), [0.0] * len(self.zones)
             for i in tasks:
@@ -266,12 +306,22 @@
             for there in self.zones:
                 if mass[there] > 0 and average > 0:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
-                    self.reach[z][there] *= 1 + pull * STEP * 0.65 * self.share
+                    self.reach[z][there] *= 1 + pull * STEP * self.share
             most = max(self.reach[z])
             self.reach[z] = [max(r / most, LEAST_REACH) for r in self.reach[z]]
 
-    def weight(self, zone: int, task: int, size: list[float], home: list[int]) -> float:
-        return size[task] * self.skill[task] * self.reach[zone][home[task]]
+        for z in self.zones:
+            old, new = self.lines[z], {}
+            for i in tasks:
+                aim = size[i] * self.skill[i] * self.reach[z][home[i]]
+                step = STEP * self.share * old.get(i, 0.0)
+                new[i] = min(max(aim, old[i] - step), old[i] + step) if i in old else aim
+            self.lines[z] = new
+
+    def weights(self, zone: int, size: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
+        """The zone's line weights; a task not stepped yet begins at its size."""
+        own = self.lines[zone]
+        return {i: own[i] if i in own else size[i] * self.reach[zone][home[i]] for i in tasks}
 
 
 class Gate:
@@ -465,7 +515,7 @@
             part.grow(tasks)
         for task in fresh:
             self.est.forget(task)
-            self.solver.skill[task] = 1.0
+            self.solver.restart(task)
             for row in self.health.factor:
                 row[task] = 1.0
 
@@ -487,10 +537,12 @@
         self.health.judge(est, tasks, roster.zone)
         heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
         self.levels.move(est.stress(tasks))
+        warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
+        size = est.sizes(roster.hint, tasks, warm)
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
-        self.solver.step(costs, roster.hint, tasks, roster.zone)
+        self.solver.step(costs, size, tasks, roster.zone)
         for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
             before = self.tables.published[zone]
@@ -503,7 +555,7 @@
 
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
-        learnt = {i: self.solver.weight(zone, i, self.roster.hint, self.roster.zone) for i in tasks}
+        learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
         return self.tables.compose(learnt, ramp, self.health.factor[zone])
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
