--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -176,6 +176,9 @@
             tries, bad, slow = self.fresh[i]
             if tries >= 1.0:
                 found.append(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25)
+        utils = [self.util[i] for i in tasks if self.util[i] >= 0.0]
+        if utils and sum(utils) < 0.85 * len(utils):
+            return 0.0  # idle cores elsewhere: work lies badly, which weights must mend, not levels
         return sorted(found)[len(found) * 2 // 3] if 2 * len(found) > len(tasks) else 0.0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
