--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -103,6 +103,7 @@
         self.cost: list[list[float]] = [[] for _ in self.zones]
         self.util_at = boot.load_names.index("util") if "util" in boot.load_names else None
         self.util: list[float] = []  # newest heard of each task, -1 once used
+        self.load: list[float] = []  # its utilisation, smoothed
         self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
         self.busy: list[float] = []
         self.fresh: list[list[float]] = []  # tries, bad ones and good latency, of hardly more than a period
@@ -111,6 +112,7 @@
         more = tasks - len(self.fresh)
         self.fresh.extend([0.0] * 3 for _ in range(more))
         self.util.extend([-1.0] * more)
+        self.load.extend([0.0] * more)
         self.served.extend([0.0] * more)
         self.busy.extend([0.0] * more)
         for rows in (self.tries, self.bad, self.cost):
@@ -118,7 +120,7 @@
                 row.extend([0.0] * (tasks - len(row)))
 
     def forget(self, task: int) -> None:
-        self.served[task] = self.busy[task] = 0.0
+        self.served[task] = self.busy[task] = self.load[task] = 0.0
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[task] = 0.0
@@ -147,6 +149,8 @@
             if self.util[i] >= 0.0 and warm[i]:
                 self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
                 self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
+            if self.util[i] >= 0.0:
+                self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
             self.util[i] = -1.0
         size, busy = sum(hint[i] for i in tasks), sum(self.busy[i] for i in tasks)
         served = sum(self.served[i] for i in tasks)
@@ -269,7 +273,7 @@
         self.share = 1.0 / boot.assigners
         # What crossing zones costs, in terms of latency: its price is a part of an RPC's criticality,
         # which is what an RPC that misses its soft deadline loses.
-        self.toll = boot.cross_zone_price * est.soft
+        self.toll = 2 * boot.cross_zone_price * est.soft
         self.skill: list[float] = []
         self.lines: list[dict[int, float]] = [{} for _ in self.zones]
         self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
@@ -283,7 +287,9 @@
             own.pop(task, None)
 
     def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
-        return {i: heard[i] + (self.toll if home[i] != zone else 0.0) for i in tasks}
+        """Heard latency and toll, at the margin: what one more RPC adds, the more the busier the task."""
+        load = self.est.load
+        return {i: heard[i] / (1 - load[i]) + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
     def step(self, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
         for there in self.zones:
