--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, Pick, PutLine,
     Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
@@ -353,14 +353,14 @@
         self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
         self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
 
-    def compose(self, learnt: dict[int, float], ramp: list[float], health: list[float]) -> tuple[dict, dict]:
+    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float) -> tuple[dict, dict]:
         """Lines wanted in a zone's table, and the cap that each was held under."""
         lines = {i: w * health[i] for i, w in learnt.items()}
         caps = {i: health[i] * ramp[i] for i in learnt}
         warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
         # A cold task gets at most its part of an even share of what the warm ones carry, however little
         # the others in its zone weigh; with nobody warm all are held down alike.
-        even = sum(warm) / len(lines) if warm else None
+        even = ease * sum(warm) / len(lines) if warm else None
         for i in lines:
             if ramp[i] < 1.0:
                 lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
@@ -474,6 +474,7 @@
         self.levels = Levels(boot)
         self.level_sent: list[dict] = [{} for _ in range(boot.zones)]
         self.token = 0
+        self.ease = 1.0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         orders: list[Order] = []
@@ -548,6 +549,10 @@
         self.levels.move(est.stress(tasks))
         warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
         size = est.sizes(roster.hint, tasks, warm)
+        # Under p2c a task with little out wins both draws it is in, and in a jam the RPCs that come again
+        # all look for such a one: a cold task must be offered that much less.
+        tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
+        self.ease = (1 - bad / (tried + PRIOR)) / (2 if self.boot.pick == Pick.P2C else 1)
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
@@ -565,7 +570,7 @@
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
-        return self.tables.compose(learnt, ramp, self.health.factor[zone])
+        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.ease)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
