No cold task is listed during a jam where proxies eject

Guards: with every other task kept away from after a run of failures, a fresh line alone is picked, whatever its weight; should hold for any cause of fleet-wide failures. May hurt: successors of a release join later while the jam lasts.

--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -84,6 +84,7 @@
     fall: int
     fall_multiple: float
     pick: Pick
+    outlier_after: int
     admission: Admission
     retry_default: int
     per_try: float
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, Pick, PutLine,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine,
     Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
@@ -27,6 +27,7 @@
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
+JAM = 0.25  # part of all tries that end badly while the fleet is in a jam
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
 
 
@@ -353,16 +354,18 @@
         self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
         self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
 
-    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float) -> tuple[dict, dict]:
+    def compose(self, learnt: dict, ramp: list[float], health: list[float], jam: bool) -> tuple[dict, dict]:
         """Lines wanted in a zone's table, and the cap that each was held under."""
         lines = {i: w * health[i] for i, w in learnt.items()}
         caps = {i: health[i] * ramp[i] for i in learnt}
         warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
         # A cold task gets at most its part of an even share of what the warm ones carry, however little
         # the others in its zone weigh; with nobody warm all are held down alike.
-        even = ease * sum(warm) / len(lines) if warm else None
-        for i in lines:
-            if ramp[i] < 1.0:
+        even = sum(warm) / len(lines) if warm else None
+        for i in list(lines):
+            if ramp[i] < 1.0 and jam and warm:
+                del lines[i]
+            elif ramp[i] < 1.0:
                 lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
         return {i: max(w, 1e-4) for i, w in lines.items()}, caps
 
@@ -474,7 +477,7 @@
         self.levels = Levels(boot)
         self.level_sent: list[dict] = [{} for _ in range(boot.zones)]
         self.token = 0
-        self.ease = 1.0
+        self.jam = False
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         orders: list[Order] = []
@@ -549,10 +552,10 @@
         self.levels.move(est.stress(tasks))
         warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
         size = est.sizes(roster.hint, tasks, warm)
-        # Under p2c a task with little out wins both draws it is in, and in a jam the RPCs that come again
-        # all look for such a one: a cold task must be offered that much less.
+        # Proxies that keep away from a task after some failures in a row leave nothing but a fresh line to
+        # pick in a jam, whatever its weight: all then send there. So no cold task is listed meanwhile.
         tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
-        self.ease = (1 - bad / (tried + PRIOR)) / (2 if self.boot.pick == Pick.P2C else 1)
+        self.jam = self.boot.outlier_after > 0 and bad > JAM * (tried + PRIOR)
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
@@ -564,13 +567,13 @@
             total_before = sum(before.get(i, 0.0) for i in tasks)
             if demand > 0 and total_before > 0:
                 published += demand * sum(before.get(i, 0.0) * cost[i] for i in tasks) / total_before
-                current += demand * sum(lines[i] * cost[i] for i in tasks) / sum(lines.values())
+                current += demand * sum(lines[i] * cost[i] for i in lines) / sum(lines.values())
         return self.gate.decide(published, current, not self.outbox.room(0, 0.5))
 
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
-        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.ease)
+        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.jam)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
