--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -388,8 +388,9 @@
         elif stress < 0.8:
             self.open = min(1.0, self.open + 0.05)
 
-    def wanted(self) -> dict[int, tuple[float, int]]:
-        return {k: (round(self.open * 20) / 20, way) for k, way in self.rows}
+    def wanted(self, jam: bool) -> dict[int, tuple[float, int]]:
+        """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
+        return {k: (round(self.open * 20) / 20, 0 if jam else way) for k, way in self.rows}
 
 
 def retry_way(method: MethodTerms) -> int:
@@ -555,7 +556,7 @@
         # Proxies that keep away from a task after some failures in a row leave nothing but a fresh line to
         # pick in a jam, whatever its weight: all then send there. So no cold task is listed meanwhile.
         tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
-        self.jam = self.boot.outlier_after > 0 and bad > JAM * (tried + PRIOR)
+        self.jam = bad > JAM * (tried + PRIOR)
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
@@ -573,7 +574,8 @@
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
-        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.jam)
+        return self.tables.compose(learnt, ramp, self.health.factor[zone],
+                                   self.jam and self.boot.outlier_after > 0)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
@@ -642,7 +644,7 @@
 
     def moved_levels(self, zone: int) -> list[Order]:
         sent, orders = self.level_sent[zone], []
-        for method, (amount, way) in self.levels.wanted().items():
+        for method, (amount, way) in self.levels.wanted(self.jam).items():
             if sent.get(method, (1.0, self.boot.retry_default)) != (amount, way):
                 sent[method] = (amount, way)
                 orders.append(SetLevel(zone, 1 << method, amount, way))
