--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -139,7 +139,7 @@
             util = report.load[self.util_at]
             self.util[task] = util if 0.0 <= util <= 1.5 else -1.0
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
-            self.fresh[task][k] += figure
+            self.fresh[task][k] += figure * self.boot.period / max(report.over, self.boot.period)
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[bool]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
@@ -354,16 +354,16 @@
         self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
         self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
 
-    def compose(self, learnt: dict, ramp: list[float], health: list[float], jam: bool) -> tuple[dict, dict]:
+    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float) -> tuple[dict, dict]:
         """Lines wanted in a zone's table, and the cap that each was held under."""
         lines = {i: w * health[i] for i, w in learnt.items()}
         caps = {i: health[i] * ramp[i] for i in learnt}
         warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
         # A cold task gets at most its part of an even share of what the warm ones carry, however little
         # the others in its zone weigh; with nobody warm all are held down alike.
-        even = sum(warm) / len(lines) if warm else None
+        even = ease * sum(warm) / len(lines) if warm else None
         for i in list(lines):
-            if ramp[i] < 1.0 and jam and warm:
+            if ramp[i] < 1.0 and not ease and warm:
                 del lines[i]
             elif ramp[i] < 1.0:
                 lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
@@ -478,7 +478,7 @@
         self.levels = Levels(boot)
         self.level_sent: list[dict] = [{} for _ in range(boot.zones)]
         self.token = 0
-        self.jam = False
+        self.jam, self.ease, self.peak = False, 1.0, 0.0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         orders: list[Order] = []
@@ -553,10 +553,15 @@
         self.levels.move(est.stress(tasks))
         warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
         size = est.sizes(roster.hint, tasks, warm)
-        # Proxies that keep away from a task after some failures in a row leave nothing but a fresh line to
-        # pick in a jam, whatever its weight: all then send there. So no cold task is listed meanwhile.
         tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
         self.jam = bad > JAM * (tried + PRIOR)
+        # In a jam RPCs come again and again and gather on whoever has room, a cold task above all: it is
+        # offered less by as much as tries outnumber the best the fleet has done. Proxies that keep away
+        # from a task after some failures in a row leave nothing else to pick, whatever the weight: then none.
+        self.peak = max(self.peak * 0.98, (tried - bad) / len(tasks))
+        self.ease = min(1.0, self.peak * len(tasks) / tried) if tried > 0 else 1.0
+        if self.jam and self.boot.outlier_after > 0:
+            self.ease = 0.0
         est.age()
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
@@ -574,8 +579,7 @@
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
-        return self.tables.compose(learnt, ramp, self.health.factor[zone],
-                                   self.jam and self.boot.outlier_after > 0)
+        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.ease)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for at once, then joins, then caps, then what the gate let through."""
