--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -316,15 +316,15 @@
             for there in self.zones:
                 if mass[there] > 0 and average > 0:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
-                    self.reach[z][there] *= 1 + pull * STEP * self.share
+                    self.reach[z][there] += pull * STEP * self.share
             most = max(self.reach[z])
-            self.reach[z] = [max(r / most, LEAST_REACH) for r in self.reach[z]]
+            self.reach[z] = [max(r / most if most > 0 else 1.0, LEAST_REACH) for r in self.reach[z]]
 
         for z in self.zones:
             old, new = self.lines[z], {}
             for i in tasks:
                 aim = size[i] * self.skill[i] * self.reach[z][home[i]]
-                step = STEP * self.share * old.get(i, 0.0)
+                step = STEP * self.share * size[i]
                 new[i] = min(max(aim, old[i] - step), old[i] + step) if i in old else aim
             self.lines[z] = new
 
