--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -506,9 +506,12 @@
         if self.boot.partitions:
             return orders
         push = False
-        period = now >= self.next_period
+        # A period is worked as its reports come, not at a clock tick long after; the timer stands in
+        # for reports that stay away.
+        heard = any(type(e) is TrafficReport for e in events)
+        period = now >= self.next_period or heard and now >= self.next_period - self.boot.period
         if period:
-            self.next_period = max(self.next_period + self.boot.period, now + self.boot.period // 2)
+            self.next_period = now + self.boot.period * 3 // 2
             push = self.improve(now)
         orders += self.roster.calls(now)
         orders += self.publish(now, period, push, listed)
