--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -23,7 +23,7 @@
 STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
 LEASH = 1.0  # how strongly a weight is drawn back to the task's size
 START_REACH = 0.6  # part of a line's weight in the tables of other zones, at the start
-LEAST_REACH = 0.3  # and at the least
+LEAST_REACH = 0.1  # and at the least
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
@@ -316,7 +316,7 @@
             for there in self.zones:
                 if mass[there] > 0 and average > 0:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
-                    self.reach[z][there] += pull * STEP * self.share
+                    self.reach[z][there] += (pull if pull > 0 else pull / 3) * STEP * self.share
             most = max(self.reach[z])
             self.reach[z] = [max(r / most if most > 0 else 1.0, LEAST_REACH) for r in self.reach[z]]
 
