--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -23,7 +23,7 @@
 STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
 LEASH = 1.0  # how strongly a weight is drawn back to the task's size
 START_REACH = 0.6  # part of a line's weight in the tables of other zones, at the start
-LEAST_REACH = 0.1  # and at the least
+LEAST_REACH = 0.3  # and at the least
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
@@ -107,7 +107,9 @@
         self.load: list[float] = []  # its utilisation, smoothed
         self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
         self.busy: list[float] = []
-        self.fresh: list[list[float]] = []  # tries, bad ones and good latency, of hardly more than a period
+        # Tries, bad ones and good latency of hardly more than a period, by task and by zone of proxies.
+        self.fresh: list[list[float]] = []
+        self.met = [[0.0] * 3 for _ in self.zones]
 
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.fresh)
@@ -139,7 +141,9 @@
             util = report.load[self.util_at]
             self.util[task] = util if 0.0 <= util <= 1.5 else -1.0
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
-            self.fresh[task][k] += figure * self.boot.period / max(report.over, self.boot.period)
+            figure *= self.boot.period / max(report.over, self.boot.period)
+            self.fresh[task][k] += figure
+            self.met[zone][k] += figure
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[bool]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
@@ -168,23 +172,21 @@
         for rows in (self.tries, self.bad, self.cost):
             for row in rows:
                 row[:] = [x * MEMORY for x in row]
-        for row in self.fresh:
+        for row in self.fresh + self.met:
             row[:] = [0.0, 0.0, 0.0]
 
-    def stress(self, tasks: list[int]) -> float:
-        """Above 1: at many tasks tries end bad or late, which more RPCs would only make worse.
+    def stress(self, zone: int, lines: dict[int, float]) -> float:
+        """Above 1: a zone's tries end bad or late, which more RPCs would only make worse.
 
-        The task two thirds up, so that a few that hang or lag are left to health and the solver.
+        Nothing while the tasks of its table have idle cores: then work lies badly, or some hang, which
+        weights and health must mend, not levels.
         """
-        found = []
-        for i in tasks:
-            tries, bad, slow = self.fresh[i]
-            if tries >= 1.0:
-                found.append(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25)
-        utils = [self.util[i] for i in tasks if self.util[i] >= 0.0]
-        if utils and sum(utils) < 0.85 * len(utils):
-            return 0.0  # idle cores elsewhere: work lies badly, which weights must mend, not levels
-        return sorted(found)[len(found) * 2 // 3] if 2 * len(found) > len(tasks) else 0.0
+        tries, bad, slow = self.met[zone]
+        told = [i for i in lines if self.util[i] >= 0.0]
+        weight = sum(lines[i] for i in told)
+        if tries < PRIOR or told and sum(lines[i] * self.util[i] for i in told) < 0.85 * weight:
+            return 0.0
+        return slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
@@ -375,22 +377,22 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.open = 1.0
+        self.open = [1.0] * boot.zones
         # One row a method: its criticality's rank from the lowest, and its way to try again.
         self.rows = [(k, retry_way(m)) for k, m in enumerate(boot.methods)]
 
-    def move(self, stress: float) -> None:
+    def move(self, zone: int, stress: float) -> None:
         """Down quickly while the fleet is in a jam, up slowly: the jam must drain before more comes in."""
         if self.boot.admission == Admission.OFF:
             return
         if stress > 1.0:
-            self.open = max(0.1, self.open * (1 - 0.4 * min(1.0, stress - 1.0)))
+            self.open[zone] = max(0.1, self.open[zone] * (1 - 0.4 * min(1.0, stress - 1.0)))
         elif stress < 0.8:
-            self.open = min(1.0, self.open + 0.05)
+            self.open[zone] = min(1.0, self.open[zone] + 0.05)
 
-    def wanted(self, jam: bool) -> dict[int, tuple[float, int]]:
+    def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
-        return {k: (round(self.open * 20) / 20, 0 if jam else way) for k, way in self.rows}
+        return {k: (round(self.open[zone] * 20) / 20, 0 if jam else way) for k, way in self.rows}
 
 
 def retry_way(method: MethodTerms) -> int:
@@ -553,7 +555,8 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, roster.zone)
         heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
-        self.levels.move(est.stress(tasks))
+        for zone, before in enumerate(self.tables.published):
+            self.levels.move(zone, est.stress(zone, before))
         warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
         size = est.sizes(roster.hint, tasks, warm)
         tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
@@ -651,7 +654,7 @@
 
     def moved_levels(self, zone: int) -> list[Order]:
         sent, orders = self.level_sent[zone], []
-        for method, (amount, way) in self.levels.wanted(self.jam).items():
+        for method, (amount, way) in self.levels.wanted(zone, self.jam).items():
             if sent.get(method, (1.0, self.boot.retry_default)) != (amount, way):
                 sent[method] = (amount, way)
                 orders.append(SetLevel(zone, 1 << method, amount, way))
