Backlog counted by receipts as proof of what has left

Now a receipt from any proxy proves what left before it. Should hold against stalls, slow channels, lost proxies alike; may hurt when nobody answers: then an eighth of the healthy pace is believed.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -404,38 +404,31 @@
 
 
 class Outbox:
-    """The only part that emits orders: by urgency, merged, within the channel's and the proxies' limits."""
+    """What may leave: within the lines that may wait and the messages a proxy may get.
+
+    What waits is counted by proof, not by an assumed pace: messages leave one after the other, so that a
+    receipt from any proxy shows that all sent before it has left. A stalled proxy's late receipt proves
+    less, never more; a slow channel shows as proof that stays away.
+    """
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.waiting = 0.0  # lines thought to wait
-        self.pace = boot.lines_per_s
+        self.sent = self.left = 0.0  # lines ever sent, and proven to have left
         self.at = 0
         self.mark = 0
-        self.marks: dict[int, float] = {}  # lines that waited when a mark was sent
-        self.sent: dict[int, deque[int]] = {}  # when each proxy was written to
+        self.marks: dict[int, float] = {}  # lines sent before each mark's reply
+        self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
-        self.waiting = max(0.0, self.waiting - self.pace * (now - self.at) / 1e6)
+        """Without any receipt (all proxies lost, say) believe in an eighth of the healthy pace."""
+        self.left = min(self.sent, self.left + self.boot.lines_per_s / 8 * (now - self.at) / 1e6)
         self.at = now
-        self.pace = min(self.boot.lines_per_s, self.pace * 1.0005)
 
     def receipt(self, receipt: Receipt) -> None:
-        """Learn the channel's true pace from how long a message took beyond its way."""
-        lines = self.marks.get(receipt.mark % 65536)
-        if lines is None:
-            return
-        queued = receipt.took - self.boot.worst_transit
-        if queued > 0 and lines > 0:
-            seen = lines / (queued / 1e6)
-            if seen < self.pace:
-                self.waiting *= min(4.0, self.pace / max(seen, 1.0))
-                self.pace = max(seen, self.boot.lines_per_s / 16)
-        elif receipt.took < self.boot.transit:
-            self.pace = min(self.boot.lines_per_s, self.pace * 1.1)
+        self.left = max(self.left, self.marks.get(receipt.mark, 0.0))
 
     def room(self, lines: float, part: float) -> bool:
-        return self.waiting + lines <= part * self.boot.most_waiting
+        return self.sent - self.left + lines <= part * self.boot.most_waiting
 
     def may_write(self, now: int, proxies: list[int], part: float) -> bool:
         """Whether one more message to each stays within this part of what the span allows."""
@@ -444,7 +437,7 @@
             return True
         since = now - self.boot.counted_over - self.boot.worst_transit
         for proxy in proxies:
-            times = self.sent.setdefault(proxy, deque())
+            times = self.written.setdefault(proxy, deque())
             while times and times[0] < since:
                 times.popleft()
             if len(times) + 1 > part * most:
@@ -452,10 +445,10 @@
         return True
 
     def book(self, now: int, proxies: list[int], lines: float) -> None:
-        self.waiting += (lines + self.boot.overhead + 1) * len(proxies)
+        self.sent += (lines + self.boot.overhead + 1) * len(proxies)
         if self.boot.messages_most > 0:
             for proxy in proxies:
-                self.sent.setdefault(proxy, deque()).append(now)
+                self.written.setdefault(proxy, deque()).append(now)
 
 
 class Assigner:
@@ -594,7 +587,7 @@
             return []
         tasks = self.roster.open()
         orders: list[Order] = []
-        written = False
+        written, already = False, box.sent
         for zone in range(self.boot.zones):
             lines, caps = self.wanted(now, zone, tasks)
             before, cap_before = tables.published[zone], tables.capped[zone]
@@ -647,7 +640,7 @@
         self.joining = late
         if written:
             box.mark = (box.mark + 1) % 65536
-            box.marks[box.mark] = box.waiting
+            box.marks[box.mark] = already
             box.marks.pop((box.mark - 1000) % 65536, None)
             orders.append(AskReceipt(box.mark, False))
         return orders
