--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -356,10 +356,11 @@
         self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
         self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
 
-    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float) -> tuple[dict, dict]:
+    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float,
+                apart: bool) -> tuple[dict, dict]:
         """Lines wanted in a zone's table, and the cap that each was held under."""
         lines = {i: w * health[i] for i, w in learnt.items()}
-        caps = {i: health[i] * ramp[i] for i in learnt}
+        caps = {i: health[i] * ramp[i] * (2 if apart else 1) for i in learnt}
         warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
         # A cold task gets at most its part of an even share of what the warm ones carry, however little
         # the others in its zone weigh; with nobody warm all are held down alike.
@@ -589,8 +590,15 @@
 
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
-        learnt = self.solver.weights(zone, self.roster.hint, tasks, self.roster.zone)
-        return self.tables.compose(learnt, ramp, self.health.factor[zone], self.ease)
+        home, health = self.roster.zone, self.health.factor[zone]
+        learnt = self.solver.weights(zone, self.roster.hint, tasks, home)
+        own = [i for i in tasks if home[i] == zone and ramp[i] >= 1.0]
+        apart = self.jam and sum(health[i] for i in own) > len(own) / 2
+        if apart:
+            # A jam spreads along lines that cross zones. While it lasts each zone with sound tasks of its
+            # own keeps to them, so that those with less to carry come free.
+            learnt = {i: w if home[i] == zone else w * TRICKLE for i, w in learnt.items()}
+        return self.tables.compose(learnt, ramp, health, self.ease, apart)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
         """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
