Health against the middle task of the best zone

Should also hold when a whole zone is lost or cut (the best zone's middle is sound then); may hurt where half of every zone fails: nobody is cut.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -219,7 +219,7 @@
 class Health:
     """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step.
 
-    Goes by what a zone's own proxies met, against the better part of the fleet as they see it: fast
+    Goes by what a zone's own proxies met, against the middle task of the best zone as they see it: fast
     errors, hangs, silence and a cut look alike here and are met alike; overload, which all tasks show,
     cuts nobody. Judged by zone, since a cut shows only from one side.
     """
@@ -237,8 +237,8 @@
         ratios = est.spread(est.bad, 0.0, tasks, home)
         for zone, factor in enumerate(self.factor):
             ratio = ratios[zone]
-            ranked = sorted(ratio[i] for i in tasks)
-            base = ranked[len(ranked) // 5]
+            zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in range(len(ratios))]
+            base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
                 # Half of all tries: a slow task whose tries run out of time is the solver's business. Cut
                 # for less, one after the other hands its work to the rest until all are in a jam.
