--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -592,11 +592,12 @@
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
         home, health = self.roster.zone, self.health.factor[zone]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, home)
-        own = [i for i in tasks if home[i] == zone and ramp[i] >= 1.0]
-        apart = self.jam and sum(health[i] for i in own) > len(own) / 2
+        carried = sum(self.rate[p] for p in self.bound[zone]) * sum(ramp[i] for i in tasks)
+        own = sum(ramp[i] * health[i] for i in tasks if home[i] == zone)
+        apart = self.jam and own * sum(self.rate[p] for p in self.proxy_zone) > carried / 2
         if apart:
-            # A jam spreads along lines that cross zones. While it lasts each zone with sound tasks of its
-            # own keeps to them, so that those with less to carry come free.
+            # A jam spreads along lines that cross zones. While it lasts each zone with at least half its
+            # part of the sound tasks keeps to its own, so that those with less to carry come free.
             learnt = {i: w if home[i] == zone else w * TRICKLE for i, w in learnt.items()}
         return self.tables.compose(learnt, ramp, health, self.ease, apart)
 
