--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -27,6 +27,7 @@
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
+LEAST_PART = 1 / 9  # of the tasks, left in a jam to methods that give way
 JAM = 0.25  # part of all tries that end badly while the fleet is in a jam
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
 
@@ -353,8 +354,8 @@
     """One shared table a zone: learnt weights, what caps leave of them, and what was last ordered."""
 
     def __init__(self, boot: Bootstrap) -> None:
-        self.published: list[dict[int, float]] = [{} for _ in range(boot.zones)]
-        self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones)]  # cap each line went out with
+        self.published: list[dict[int, float]] = [{} for _ in range(boot.zones + 1)]
+        self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones + 1)]  # cap each line went out with
 
     def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float,
                 apart: bool) -> tuple[dict, dict]:
@@ -378,7 +379,11 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.open = [1.0] * boot.zones
+        self.open = [1.0] * (boot.zones + 1)
+        most = max(m.criticality for m in boot.methods)
+        # The methods that give way where levels are off, as a mask.
+        self.lean = sum(1 << k for k, m in enumerate(boot.methods) if m.criticality < most)
+        self.lean *= boot.admission == Admission.OFF
         # One row a method: its criticality's rank from the lowest, and its way to try again.
         self.rows = [(k, retry_way(m)) for k, m in enumerate(boot.methods)]
 
@@ -476,11 +481,15 @@
         self.outbox = Outbox(boot)
         self.proxy_zone: dict[int, int] = {}
         self.rate: dict[int, float] = {}
-        self.bound: list[list[int]] = [[] for _ in range(boot.zones)]
-        self.joining: list[int] = []
+        # A table a zone, and one more for the excess of a jam.
+        self.bound: list[list[int]] = [[] for _ in range(boot.zones + 1)]
+        self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
+        self.strain, self.split = 0, False
+        self.size: list[float] = []
+        self.part = LEAST_PART
         self.next_period: int | None = None
         self.levels = Levels(boot)
-        self.level_sent: list[dict] = [{} for _ in range(boot.zones)]
+        self.level_sent: list[dict] = [{} for _ in range(boot.zones + 1)]
         self.token = 0
         self.jam, self.ease, self.peak, self.owed = False, 1.0, 0.0, False
         self.calm_at = 0
@@ -503,7 +512,9 @@
                 if event.zone < self.boot.zones:
                     self.proxy_zone[event.proxy] = event.zone
                     self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
-                    self.joining.append(event.proxy)
+                    self.joining.append((event.proxy, event.zone, 0))
+                    if self.split:
+                        self.joining.append((event.proxy, self.boot.zones, self.levels.lean))
             elif kind is Left:
                 self.leave(event.proxy)
         if self.next_period is None:
@@ -548,10 +559,37 @@
         zone = self.proxy_zone.pop(proxy, None)
         if zone is None:
             return
-        if proxy in self.bound[zone]:
-            self.bound[zone].remove(proxy)
-        if proxy in self.joining:
-            self.joining.remove(proxy)
+        for bound in self.bound:
+            if proxy in bound:
+                bound.remove(proxy)
+        self.joining = [due for due in self.joining if due[0] != proxy]
+
+    def part_methods(self, tasks: list[int]) -> None:
+        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks.
+
+        So the rest come free of RPCs that run out of time. The few grow while the rest do well, and all are
+        together again when it is over.
+        """
+        rest = [i for i in tasks if i not in self.tables.published[-1]]
+        tried, bad = (sum(self.est.fresh[i][k] for i in rest) for k in (0, 1))
+        if bad > JAM * tried:
+            self.part = max(LEAST_PART, self.part / 2)
+        elif bad < JAM / 5 * tried:
+            self.part = min(0.5, self.part * 1.2)
+        self.strain = max(0, min(4, self.strain + (1 if self.jam else -1)))
+        if self.levels.lean and self.split != (self.strain >= (1 if self.split else 2)):
+            self.split, self.part = not self.split, LEAST_PART
+            excess = self.boot.zones
+            self.joining = [due for due in self.joining if due[2] == 0]
+            for proxy, zone in self.proxy_zone.items():
+                self.joining.append((proxy, excess if self.split else zone, self.levels.lean))
+            if not self.split:
+                self.bound[excess] = []
+
+    def sinks(self, tasks: list[int]) -> list[int]:
+        """The slowest of the warm tasks, as many as are left to the methods that give way."""
+        size, skill = self.size or self.roster.hint, self.solver.skill
+        return sorted(tasks, key=lambda i: (size[i] * skill[i], i))[:max(1, round(len(tasks) * self.part))]
 
     def improve(self, now: int) -> bool:
         """One report period: judge, step, and ask the gate."""
@@ -561,7 +599,7 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, roster.zone)
         heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
-        for zone, before in enumerate(self.tables.published):
+        for zone, before in enumerate(self.tables.published[:-1]):
             self.levels.move(zone, est.stress(zone, before))
         warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
         size = est.sizes(roster.hint, tasks, warm)
@@ -574,7 +612,9 @@
         self.ease = min(1.0, self.peak * len(tasks) / tried) if tried > 0 else 1.0
         if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
             self.ease = 0.0
+        self.part_methods(tasks)
         est.age()
+        self.size = size
         published = current = 0.0
         costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
         self.solver.step(costs, size, tasks, roster.zone)
@@ -590,15 +630,20 @@
 
     def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
         ramp = [self.ramp.part(now, started) for started in self.roster.started]
+        sinks = self.sinks([i for i in tasks if ramp[i] >= 1.0]) if self.split else []
+        if zone == self.boot.zones:
+            return {i: 1.0 for i in sinks}, {i: 1.0 for i in sinks}
         home, health = self.roster.zone, self.health.factor[zone]
         learnt = self.solver.weights(zone, self.roster.hint, tasks, home)
         carried = sum(self.rate[p] for p in self.bound[zone]) * sum(ramp[i] for i in tasks)
         own = sum(ramp[i] * health[i] for i in tasks if home[i] == zone)
-        apart = self.jam and own * sum(self.rate[p] for p in self.proxy_zone) > carried / 2
+        apart = self.jam and not self.split and own * sum(self.rate[p] for p in self.proxy_zone) > carried / 2
         if apart:
             # A jam spreads along lines that cross zones. While it lasts each zone with at least half its
             # part of the sound tasks keeps to its own, so that those with less to carry come free.
             learnt = {i: w if home[i] == zone else w * TRICKLE for i, w in learnt.items()}
+        for i in sinks:
+            learnt[i] *= TRICKLE
         return self.tables.compose(learnt, ramp, health, self.ease, apart)
 
     def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
@@ -609,7 +654,7 @@
         tasks = self.roster.open()
         orders: list[Order] = []
         already, self.owed = box.sent, False
-        for zone in range(self.boot.zones):
+        for zone in range(self.boot.zones + 1):
             lines, caps = self.wanted(now, zone, tasks)
             before, cap_before, proxies = tables.published[zone], tables.capped[zone], self.bound[zone]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
@@ -632,14 +677,15 @@
             cap_before.update((i, caps[i]) for i in moved)
             self.level_sent[zone].update(levels)
             box.book(now, proxies, len(gone) + len(moved) + len(levels))
-        for proxy in self.joining[:]:
-            zone = self.proxy_zone[proxy]
+        for due in self.joining[:]:
+            proxy, zone, methods = due
             size = len(tables.published[zone]) + 1 + len(self.level_sent[zone])
             if not tables.published[zone] or not box.may_send(now, [proxy], size, 0.9):
                 continue
-            orders.append(Attach(proxy, zone, 0))
-            self.joining.remove(proxy)
-            self.bound[zone].append(proxy)
+            orders.append(Attach(proxy, zone, methods))
+            self.joining.remove(due)
+            if proxy not in self.bound[zone]:
+                self.bound[zone].append(proxy)
             box.book(now, [proxy], size)
         return orders + box.stamp(already)
 
