--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -4,12 +4,14 @@
 moment; nothing else goes in or out. Events, orders and `Bootstrap` are in `hollyridge/interface.py`.
 Each part decides one thing: Roster (what is listed, when to ask), Estimates (what is heard), Health (who
 lies low), Ramp (what cold tasks may get), Solver (better weights), Gate (when they are worth a push),
-Tables (what each zone's table should hold), Outbox (what leaves, when). docs/design.md gives reasons.
+Levels (what is let in), Tables (what each table holds and who uses it), Outbox (what leaves, and when).
+docs/design.md gives the reasons.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from random import Random
 
 from hollyridge.interface import (
@@ -54,18 +56,14 @@
                 self.ask_at = now + round(wait * (0.5 + self.chance()))
             return []
         if change.kind != ListKind.CACHED:
-            self.failures = 0
             # The watch holds; renew it long before silence could mean that it was lost unheard.
+            self.failures = 0
             self.ask_at = now + self.boot.ask_within if self.boot.subscribe else None
+        more = max([entry.task + 1 for entry in change.entries], default=0) - len(self.state)
+        for row, start in ((self.state, TaskState.GONE), (self.zone, 0), (self.hint, 1.0), (self.started, 0)):
+            row.extend([start] * more)
         fresh = []
-        seen = set()
         for task, zone, _sku, _cell, state, weight, started_at in change.entries:
-            while len(self.state) <= task:
-                self.state.append(TaskState.GONE)
-                self.zone.append(0)
-                self.hint.append(1.0)
-                self.started.append(-1)
-            seen.add(task)
             was_open = self.state[task] == TaskState.READY
             if state == TaskState.READY and (not was_open or started_at > self.started[task]):
                 fresh.append(task)
@@ -74,10 +72,9 @@
                 self.zone[task] = zone
                 self.hint[task] = weight if 0 < weight < 1e9 else 1.0
                 self.started[task] = max(started_at, self.started[task])
-        if change.kind != ListKind.DELTA:
-            for task in range(len(self.state)):
-                if task not in seen:  # a full list says by silence what has left
-                    self.state[task] = TaskState.GONE
+        if change.kind != ListKind.DELTA:  # a full list says by silence what has left
+            for task in set(range(len(self.state))) - {entry.task for entry in change.entries}:
+                self.state[task] = TaskState.GONE
         return fresh
 
     def open(self) -> list[int]:
@@ -92,23 +89,21 @@
 
 
 class Estimates:
-    """What the proxies of each zone met at each task, aged by period; demand by zone."""
+    """What the proxies of each zone met at each task, what tasks can do, and how busy they are."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot, self.zones = boot, range(boot.zones)
-        shares = [m.criticality for m in boot.methods]
-        total = sum(shares) or 1.0
-        self.soft = sum(m.soft_deadline * c for m, c in zip(boot.methods, shares)) / total
-        self.abort_cost = sum(m.deadline * c for m, c in zip(boot.methods, shares)) / total
-        self.tries: list[list[float]] = [[] for _ in self.zones]
-        self.bad: list[list[float]] = [[] for _ in self.zones]
-        self.cost: list[list[float]] = [[] for _ in self.zones]
+        total = sum(m.criticality for m in boot.methods) or 1.0
+        self.soft = sum(m.soft_deadline * m.criticality for m in boot.methods) / total
+        self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
+        # By zone of proxies and task: tries, bad ones, and what they cost in latency.
+        self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
         self.util_at = boot.load_names.index("util") if "util" in boot.load_names else None
-        self.util: list[float] = []  # newest heard of each task, -1 once used
-        self.load: list[float] = []  # its utilisation, smoothed
+        self.util: list[float] = []  # newest utilisation heard of each task, -1 once used
+        self.load: list[float] = []  # the same, smoothed
         self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
         self.busy: list[float] = []
-        # Tries, bad ones and good latency of hardly more than a period, by task and by zone of proxies.
+        # Tries, bad ones and good latency of one period, by task and by zone of proxies.
         self.fresh: list[list[float]] = []
         self.met = [[0.0] * 3 for _ in self.zones]
 
@@ -116,22 +111,16 @@
         more = tasks - len(self.fresh)
         self.fresh.extend([0.0] * 3 for _ in range(more))
         self.util.extend([-1.0] * more)
-        self.load.extend([0.0] * more)
-        self.served.extend([0.0] * more)
-        self.busy.extend([0.0] * more)
-        for rows in (self.tries, self.bad, self.cost):
-            for row in rows:
-                row.extend([0.0] * (tasks - len(row)))
+        for row in (self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
+            row.extend([0.0] * more)
 
     def forget(self, task: int) -> None:
-        self.served[task] = self.busy[task] = self.load[task] = 0.0
-        for rows in (self.tries, self.bad, self.cost):
-            for row in rows:
-                row[task] = 0.0
+        for row in (self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
+            row[task] = 0.0
 
     def hear(self, report: TrafficReport) -> None:
         zone, task = report.zone, report.task
-        if zone >= self.boot.zones or task >= len(self.tries[0]) or report.over <= 0 or report.tries <= 0:
+        if zone >= self.boot.zones or task >= len(self.util) or report.over <= 0 or report.tries <= 0:
             return
         bad = min(report.bad, report.tries)
         good = report.tries - bad if report.latency >= 0 else 0
@@ -142,40 +131,41 @@
             util = report.load[self.util_at]
             self.util[task] = util if 0.0 <= util <= 1.5 else -1.0
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
+            # What was held back for long counts as one period's worth.
             figure *= self.boot.period / max(report.over, self.boot.period)
             self.fresh[task][k] += figure
             self.met[zone][k] += figure
 
-    def sizes(self, hint: list[float], tasks: list[int], warm: list[bool]) -> list[float]:
+    def age(self) -> None:
+        for row in (*self.tries, *self.bad, *self.cost):
+            row[:] = [x * MEMORY for x in row]
+        for row in self.fresh + self.met:
+            row[:] = [0.0] * 3
+
+    def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
+        """Tries of this period and how many of them were bad."""
+        return tuple(sum(self.fresh[i][k] for i in tasks) for k in (0, 1))
+
+    def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
 
         Where load reports tell no utilisation the listed size stands and latency has to teach the rest.
         """
         for i in tasks:
-            if self.util[i] >= 0.0 and warm[i]:
-                self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
-                self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
+                if i in warm:
+                    self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
+                    self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
             self.util[i] = -1.0
-        size, busy = sum(hint[i] for i in tasks), sum(self.busy[i] for i in tasks)
-        served = sum(self.served[i] for i in tasks)
+        served, busy = (sum(row[i] for i in tasks) for row in (self.served, self.busy))
         if busy <= 0 or served <= 0:
             return hint
         unit = served / sum(self.busy[i] * hint[i] for i in tasks)
-        found = list(hint)
-        for i in tasks:
-            found[i] = (self.served[i] + hint[i] * unit) / (self.busy[i] + 1.0)
-        scale = size / sum(found[i] for i in tasks)
+        found = [(s + h * unit) / (b + 1.0) for s, h, b in zip(self.served, hint, self.busy)]
+        scale = sum(hint[i] for i in tasks) / sum(found[i] for i in tasks)
         return [x * scale for x in found]
 
-    def age(self) -> None:
-        for rows in (self.tries, self.bad, self.cost):
-            for row in rows:
-                row[:] = [x * MEMORY for x in row]
-        for row in self.fresh + self.met:
-            row[:] = [0.0, 0.0, 0.0]
-
     def stress(self, zone: int, lines: dict[int, float]) -> float:
         """Above 1: a zone's tries end bad or late, which more RPCs would only make worse.
 
@@ -184,10 +174,10 @@
         """
         tries, bad, slow = self.met[zone]
         told = [i for i in lines if self.util[i] >= 0.0]
-        weight = sum(lines[i] for i in told)
-        if tries < PRIOR or told and sum(lines[i] * self.util[i] for i in told) < 0.85 * weight:
+        idle = sum(lines[i] * (0.85 - self.util[i]) for i in told)
+        if tries < PRIOR or idle > 0:
             return 0.0
-        return slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / 0.25
+        return slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
@@ -196,16 +186,13 @@
         task's zone; one with none counts as average.
         """
         tries = self.tries
-        n_all = sum(tries[z][i] for z in self.zones for i in tasks)
-        mean = (sum(rows[z][i] for z in self.zones for i in tasks) + PRIOR * start) / (n_all + PRIOR)
-        pooled = {}
-        for i in tasks:
-            n = sum(tries[z][i] for z in self.zones)
-            pooled[i] = (sum(rows[z][i] for z in self.zones) + PRIOR * mean) / (n + PRIOR)
+        n = {i: sum(row[i] for row in tries) for i in tasks}
+        sums = {i: sum(row[i] for row in rows) for i in tasks}
+        mean = (sum(sums.values()) + PRIOR * start) / (sum(n.values()) + PRIOR)
+        pooled = {i: (sums[i] + PRIOR * mean) / (n[i] + PRIOR) for i in tasks}
         out = []
         for z in self.zones:
-            met = [PRIOR * mean] * self.boot.zones
-            expected = [PRIOR * mean] * self.boot.zones
+            met, expected = ([PRIOR * mean] * self.boot.zones for _ in range(2))
             for i in tasks:
                 met[home[i]] += rows[z][i]
                 expected[home[i]] += tries[z][i] * pooled[i]
@@ -233,12 +220,9 @@
             row.extend([1.0] * (tasks - len(row)))
 
     def judge(self, est: Estimates, tasks: list[int], home: list[int]) -> None:
-        if not tasks:
-            return
-        ratios = est.spread(est.bad, 0.0, tasks, home)
-        for zone, factor in enumerate(self.factor):
-            ratio = ratios[zone]
-            zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in range(len(ratios))]
+        for zone, ratio in enumerate(est.spread(est.bad, 0.0, tasks, home)):
+            factor = self.factor[zone]
+            zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
                 # Half of all tries: a slow task whose tries run out of time is the solver's business. Cut
@@ -246,47 +230,74 @@
                 if ratio[i] > base + 0.5:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
-                    heard = est.tries[zone][i] >= 1.0
-                    factor[i] = min(1.0, factor[i] * (2.0 if heard else 1.25))
+                    factor[i] = min(1.0, factor[i] * (2.0 if est.tries[zone][i] >= 1.0 else 1.25))
 
 
 class Ramp:
-    """What part of its usual share a task may get, by the time since its start."""
+    """What cold tasks may get from all proxies together, by the time since their start."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
+        self.jam, self.ease, self.peak, self.calm_at = False, 1.0, 0.0, 0
+
+    def begin(self, now: int) -> None:
+        """An instance that starts over in a jam hears of it only when tries have run out of time."""
+        self.calm_at = now + 2 * self.boot.period + max(m.deadline for m in self.boot.methods)
+        self.ease = 0.0 if self.boot.outlier_after > 0 else 1.0
 
     def part(self, now: int, started: int) -> float:
         """From the stated floor up to all of it, in steps of an eighth."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         floor = self.boot.cold_from
-        part = floor + (1 - floor) * max(0, now - started) / self.boot.warm_up
-        return max(floor, int(part * 8) / 8)
+        return max(floor, int(8 * (floor + (1 - floor) * max(0, now - started) / self.boot.warm_up)) / 8)
+
+    def judge(self, now: int, tried: float, bad: float, tasks: int) -> None:
+        """In a jam RPCs come again and again and gather on whoever has room, a cold task above all.
+
+        So it is offered less by as much as tries outnumber the best the fleet has done. Proxies that keep
+        away from a task after some failures in a row leave nothing else to pick, whatever the weight:
+        there a cold task is not listed at all meanwhile.
+        """
+        self.jam = bad > JAM * (tried + PRIOR)
+        self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
+        self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
+        if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
+            self.ease = 0.0
+
+    def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
+        """A cold task gets at most its part of an even share of what the warm ones carry, however little
+        the others in its zone weigh; with nobody warm all are held down alike."""
+        warm = [w for i, w in lines.items() if part[i] >= 1.0]
+        even = self.ease * sum(warm) / max(len(lines), 1) if warm else 1e9
+        return {i: max(w if part[i] >= 1.0 else part[i] * min(w, even * factor[i]), 1e-4)
+                for i, w in lines.items() if part[i] >= 1.0 or even > 0}
 
 
 class Solver:
-    """The feedback loop on heard latency: a line's weight is its size x the task's skill x the zone's reach.
+    """The feedback loop on heard latency: a weight goes towards size x the task's skill x the zone's reach.
 
     Skill is learnt once for all tables, against the tasks of its own zone; reach once for each pair of
-    zones. So little news moves many lines, and a step of the two together moves none by over a tenth.
+    zones: so little news moves many lines. A step moves a line by at most a tenth of the task's size.
     """
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
         self.zones, self.est = range(boot.zones), est
-        self.share = 1.0 / boot.assigners
+        self.stride = STEP / boot.assigners
         # What crossing zones costs, in terms of latency: its price is a part of an RPC's criticality,
         # which is what an RPC that misses its soft deadline loses.
         self.toll = 2 * boot.cross_zone_price * est.soft
         self.skill: list[float] = []
+        self.size: list[float] = []
         self.lines: list[dict[int, float]] = [{} for _ in self.zones]
         self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
 
-    def grow(self, tasks: int) -> None:
-        self.skill.extend([1.0] * (tasks - len(self.skill)))
+    def grow(self, hint: list[float]) -> None:
+        self.skill.extend([1.0] * (len(hint) - len(self.skill)))
+        self.size.extend(hint[len(self.size):])
 
-    def restart(self, task: int) -> None:
-        self.skill[task] = 1.0
+    def restart(self, task: int, hint: float) -> None:
+        self.skill[task], self.size[task] = 1.0, hint
         for own in self.lines:
             own.pop(task, None)
 
@@ -296,45 +307,38 @@
         return {i: heard[i] / (1 - load[i]) + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
     def step(self, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
+        self.size, weight = size, {i: size[i] * self.skill[i] for i in tasks}
         for there in self.zones:
             kin = [i for i in tasks if home[i] == there]
-            if not kin:
-                continue
-            cost = {i: sum(costs[z][i] for z in self.zones) for i in kin}
-            total = sum(size[i] * self.skill[i] for i in kin)
-            average = sum(size[i] * self.skill[i] * cost[i] for i in kin) / total
+            cost = {i: sum(row[i] for row in costs) for i in kin}
+            average = sum(weight[i] * cost[i] for i in kin) / (sum(weight[i] for i in kin) or 1.0)
             for i in kin:
                 # A leash keeps a weight near the task's size: chased all the way, equal latency piles work
                 # on the quickest until a burst tips them into a jam.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
-                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * STEP / 3 * self.share
-        for z in self.zones:
-            mass, bill = [0.0] * len(self.zones), [0.0] * len(self.zones)
+                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
+        for z, reach in enumerate(self.reach):
+            mass, bill = ([0.0] * len(self.zones) for _ in range(2))
             for i in tasks:
-                w = size[i] * self.skill[i]
-                mass[home[i]] += w
-                bill[home[i]] += w * costs[z][i]
-            total = sum(m * r for m, r in zip(mass, self.reach[z]))
-            average = sum(b * r for b, r in zip(bill, self.reach[z])) / total if total > 0 else 0.0
+                mass[home[i]] += weight[i]
+                bill[home[i]] += weight[i] * costs[z][i]
+            average = sum(b * r for b, r in zip(bill, reach)) / sum(m * r for m, r in zip(mass, reach))
             for there in self.zones:
-                if mass[there] > 0 and average > 0:
+                if mass[there] > 0:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
-                    self.reach[z][there] += (pull if pull > 0 else pull / 3) * STEP * self.share
-            most = max(self.reach[z])
-            self.reach[z] = [max(r / most if most > 0 else 1.0, LEAST_REACH) for r in self.reach[z]]
-
-        for z in self.zones:
-            old, new = self.lines[z], {}
-            for i in tasks:
-                aim = size[i] * self.skill[i] * self.reach[z][home[i]]
-                step = STEP * self.share * size[i]
-                new[i] = min(max(aim, old[i] - step), old[i] + step) if i in old else aim
-            self.lines[z] = new
-
-    def weights(self, zone: int, size: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
+                    # Wide at once where a zone is in trouble, home again only slowly.
+                    reach[there] += (pull if pull > 0 else pull / 3) * self.stride
+            most = max(reach)
+            reach[:] = [max(r / most, LEAST_REACH) for r in reach]
+            old = self.lines[z]
+            aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
+            self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
+                                    old.get(i, w) + self.stride * size[i]) for i, w in aim.items()}
+
+    def weights(self, zone: int, tasks: list[int], home: list[int]) -> dict[int, float]:
         """The zone's line weights; a task not stepped yet begins at its size."""
         own = self.lines[zone]
-        return {i: own[i] if i in own else size[i] * self.reach[zone][home[i]] for i in tasks}
+        return {i: own[i] if i in own else self.size[i] * self.reach[zone][home[i]] for i in tasks}
 
 
 class Gate:
@@ -350,61 +354,34 @@
         return push
 
 
-class Tables:
-    """One shared table a zone: learnt weights, what caps leave of them, and what was last ordered."""
-
-    def __init__(self, boot: Bootstrap) -> None:
-        self.published: list[dict[int, float]] = [{} for _ in range(boot.zones + 1)]
-        self.capped: list[dict[int, float]] = [{} for _ in range(boot.zones + 1)]  # cap each line went out with
-
-    def compose(self, learnt: dict, ramp: list[float], health: list[float], ease: float,
-                apart: bool) -> tuple[dict, dict]:
-        """Lines wanted in a zone's table, and the cap that each was held under."""
-        lines = {i: w * health[i] for i, w in learnt.items()}
-        caps = {i: health[i] * ramp[i] * (2 if apart else 1) for i in learnt}
-        warm = [w for i, w in lines.items() if ramp[i] >= 1.0]
-        # A cold task gets at most its part of an even share of what the warm ones carry, however little
-        # the others in its zone weigh; with nobody warm all are held down alike.
-        even = ease * sum(warm) / len(lines) if warm else None
-        for i in list(lines):
-            if ramp[i] < 1.0 and not ease and warm:
-                del lines[i]
-            elif ramp[i] < 1.0:
-                lines[i] = ramp[i] * (lines[i] if even is None else min(lines[i], even * health[i]))
-        return {i: max(w, 1e-4) for i, w in lines.items()}, caps
-
-
 class Levels:
-    """What part of each method is let in, and how proxies may try again."""
+    """What part of the RPCs each table lets in, how proxies may try again, and which methods give way."""
 
     def __init__(self, boot: Bootstrap) -> None:
-        self.boot = boot
+        self.off = boot.admission == Admission.OFF
         self.open = [1.0] * (boot.zones + 1)
+        # The table of methods: a row each, with its way to try again and whether it gives way in a jam.
         most = max(m.criticality for m in boot.methods)
-        # The methods that give way where levels are off, as a mask.
-        self.lean = sum(1 << k for k, m in enumerate(boot.methods) if m.criticality < most)
-        self.lean *= boot.admission == Admission.OFF
-        # One row a method: its criticality's rank from the lowest, and its way to try again.
-        self.rows = [(k, retry_way(m)) for k, m in enumerate(boot.methods)]
+        self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
+        self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
     def move(self, zone: int, stress: float) -> None:
-        """Down quickly while the fleet is in a jam, up slowly: the jam must drain before more comes in."""
-        if self.boot.admission == Admission.OFF:
-            return
-        if stress > 1.0:
+        """Down quickly while a zone is in a jam, up slowly: the jam must drain before more comes in."""
+        if stress > 1.0 and not self.off:
             self.open[zone] = max(0.1, self.open[zone] * (1 - 0.4 * min(1.0, stress - 1.0)))
         elif stress < 0.8:
             self.open[zone] = min(1.0, self.open[zone] + 0.05)
 
     def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
-        return {k: (round(self.open[zone] * 20) / 20, 0 if jam else way) for k, way in self.rows}
+        return {k: (round(self.open[zone] * 20) / 20, 0 if jam else way) for k, way, _ in self.rows}
 
 
 def retry_way(method: MethodTerms) -> int:
     """How a proxy may try again without an effect happening twice.
 
-    After proof that the first never ran it is always safe.
+    After proof that the first never ran it is always safe, whatever the method's repeat mode, group and
+    window, and whichever zones a table's tasks are in.
     """
     return 1
 
@@ -465,231 +442,206 @@
         return [AskReceipt(self.mark, False)]
 
 
+class Tables:
+    """One shared table a zone, and one for the excess of a jam; who uses them, and what was last ordered."""
+
+    def __init__(self, boot: Bootstrap) -> None:
+        self.excess = boot.zones
+        every = range(boot.zones + 1)
+        self.lines: list[dict[int, float]] = [{} for _ in every]
+        self.caps: list[dict[int, float]] = [{} for _ in every]  # the cap each line went out with
+        self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in every]
+        self.bound: list[list[int]] = [[] for _ in every]
+        self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
+        self.zone: dict[int, int] = {}  # of each joined proxy
+        self.rate: dict[int, float] = {}
+        self.strain, self.parted, self.part = 0, False, LEAST_PART
+
+    def join(self, event: Joined, lean: int) -> None:
+        self.leave(event.proxy)
+        self.zone[event.proxy] = event.zone
+        self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
+        self.joining.append((event.proxy, event.zone, 0))
+        if self.parted:
+            self.joining.append((event.proxy, self.excess, lean))
+
+    def leave(self, proxy: int) -> None:
+        if self.zone.pop(proxy, None) is not None:
+            self.bound = [[p for p in bound if p != proxy] for bound in self.bound]
+            self.joining = [due for due in self.joining if due[0] != proxy]
+
+    def demand(self, zone: int) -> float:
+        return sum(self.rate[p] for p, at in self.zone.items() if at == zone)
+
+    def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
+        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks.
+
+        So the rest come free of RPCs that run out of time. The few grow while the rest do well (what they
+        tried and how much of it was bad), and all are together again when the jam is over.
+        """
+        if bad > JAM * tried:
+            self.part = max(LEAST_PART, self.part / 2)
+        elif bad < JAM / 5 * tried:
+            self.part = min(0.5, self.part * 1.2)
+        self.strain = max(0, min(4, self.strain + (1 if jam else -1)))
+        if lean and self.parted != (self.strain >= (1 if self.parted else 2)):
+            self.parted, self.part = not self.parted, LEAST_PART
+            self.joining = [due for due in self.joining if due[2] == 0]
+            self.joining += [(p, self.excess if self.parted else z, lean) for p, z in self.zone.items()]
+
+    def attach(self, now: int, box: Outbox) -> list[Order]:
+        orders: list[Order] = []
+        for due in self.joining[:]:
+            proxy, table, _ = due
+            size = len(self.lines[table]) + 1 + len(self.levels[table])
+            if self.lines[table] and box.may_send(now, [proxy], size, 0.9):
+                orders.append(Attach(*due))
+                self.joining.remove(due)
+                self.bound[table] += [proxy] * (proxy not in self.bound[table])
+                if due[2] and table != self.excess and proxy in self.bound[self.excess]:
+                    self.bound[self.excess].remove(proxy)
+                box.book(now, [proxy], size)
+        return orders
+
+
 class Assigner:
     """One instance. `decide` takes what happened and returns what is to be done."""
 
     def __init__(self, boot: Bootstrap, seed: int) -> None:
         self.boot = boot
-        rng = Random(seed)
-        self.roster = Roster(boot, rng)
-        self.est = Estimates(boot)
-        self.health = Health(boot)
-        self.ramp = Ramp(boot)
-        self.solver = Solver(boot, self.est)
-        self.gate = Gate()
-        self.tables = Tables(boot)
-        self.outbox = Outbox(boot)
-        self.proxy_zone: dict[int, int] = {}
-        self.rate: dict[int, float] = {}
-        # A table a zone, and one more for the excess of a jam.
-        self.bound: list[list[int]] = [[] for _ in range(boot.zones + 1)]
-        self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
-        self.strain, self.split = 0, False
-        self.size: list[float] = []
-        self.part = LEAST_PART
+        self.roster, self.est, self.health = Roster(boot, Random(seed)), Estimates(boot), Health(boot)
+        self.ramp, self.solver, self.gate = Ramp(boot), Solver(boot, self.est), Gate()
+        self.levels, self.tables, self.outbox = Levels(boot), Tables(boot), Outbox(boot)
+        self.lean = self.levels.lean if self.levels.off else 0
         self.next_period: int | None = None
-        self.levels = Levels(boot)
-        self.level_sent: list[dict] = [{} for _ in range(boot.zones + 1)]
-        self.token = 0
-        self.jam, self.ease, self.peak, self.owed = False, 1.0, 0.0, False
-        self.calm_at = 0
+        self.owed, self.token = False, 0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
-        orders: list[Order] = []
         self.outbox.drain(now)
-        listed = False
+        kinds = {type(event) for event in events}
         for event in events:
-            kind = type(event)
-            if kind is TrafficReport:
+            if isinstance(event, TrafficReport):
                 self.est.hear(event)
-            elif kind is RosterChange:
-                listed = True
+            elif isinstance(event, RosterChange):
                 self.listen(now, event)
-            elif kind is Receipt:
+            elif isinstance(event, Receipt):
                 self.outbox.receipt(event)
-            elif kind is Joined:
-                self.leave(event.proxy)
-                if event.zone < self.boot.zones:
-                    self.proxy_zone[event.proxy] = event.zone
-                    self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
-                    self.joining.append((event.proxy, event.zone, 0))
-                    if self.split:
-                        self.joining.append((event.proxy, self.boot.zones, self.levels.lean))
-            elif kind is Left:
-                self.leave(event.proxy)
+            elif isinstance(event, Joined) and event.zone < self.boot.zones:
+                self.tables.join(event, self.lean)
+            elif isinstance(event, Left):
+                self.tables.leave(event.proxy)
         if self.next_period is None:
             self.next_period = now
-            # Started over in a jam, this instance hears of it only when tries have run out of time.
-            self.calm_at = now + 2 * self.boot.period + max(m.deadline for m in self.boot.methods)
-            self.ease = 0.0 if self.boot.outlier_after > 0 else 1.0
-        if self.boot.partitions:
-            return orders
-        push = False
+            self.ramp.begin(now)
+        if self.boot.partitions:  # key slices are not decided yet
+            return []
         # A period is worked as its reports come, not at a clock tick long after; the timer stands in
         # for reports that stay away.
-        heard = any(type(e) is TrafficReport for e in events)
-        period = now >= self.next_period or heard and now >= self.next_period - self.boot.period
+        period = now >= self.next_period - self.boot.period * (TrafficReport in kinds)
+        push = False
         if period:
             self.next_period = now + self.boot.period * 3 // 2
             push = self.improve(now)
-        orders += self.roster.calls(now)
-        orders += self.publish(now, period, push, listed)
-        if period or self.owed or listed or any(type(e) is Woke for e in events):
-            soon = self.next_period
-            if self.joining or self.owed:
+        orders = self.roster.calls(now)
+        if period or RosterChange in kinds or self.tables.joining or self.owed:
+            orders += self.publish(now, push)
+        if period or self.owed or kinds & {Woke, RosterChange}:
+            soon = min(self.next_period, self.roster.ask_at or self.next_period)
+            if self.tables.joining or self.owed:
                 soon = min(soon, now + self.boot.period // 8)
-            if self.roster.ask_at is not None:
-                soon = min(soon, max(self.roster.ask_at, now + 1))
             self.token += 1
             orders.append(WakeAt(self.token, max(soon - now, 1000)))
         return orders
 
     def listen(self, now: int, change: RosterChange) -> None:
         fresh = self.roster.hear(now, change)
-        tasks = len(self.roster.state)
-        for part in (self.est, self.health, self.solver):
-            part.grow(tasks)
+        self.est.grow(len(self.roster.state))
+        self.health.grow(len(self.roster.state))
+        self.solver.grow(self.roster.hint)
         for task in fresh:
             self.est.forget(task)
-            self.solver.restart(task)
+            self.solver.restart(task, self.roster.hint[task])
             for row in self.health.factor:
                 row[task] = 1.0
 
-    def leave(self, proxy: int) -> None:
-        zone = self.proxy_zone.pop(proxy, None)
-        if zone is None:
-            return
-        for bound in self.bound:
-            if proxy in bound:
-                bound.remove(proxy)
-        self.joining = [due for due in self.joining if due[0] != proxy]
-
-    def part_methods(self, tasks: list[int]) -> None:
-        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks.
-
-        So the rest come free of RPCs that run out of time. The few grow while the rest do well, and all are
-        together again when it is over.
-        """
-        rest = [i for i in tasks if i not in self.tables.published[-1]]
-        tried, bad = (sum(self.est.fresh[i][k] for i in rest) for k in (0, 1))
-        if bad > JAM * tried:
-            self.part = max(LEAST_PART, self.part / 2)
-        elif bad < JAM / 5 * tried:
-            self.part = min(0.5, self.part * 1.2)
-        self.strain = max(0, min(4, self.strain + (1 if self.jam else -1)))
-        if self.levels.lean and self.split != (self.strain >= (1 if self.split else 2)):
-            self.split, self.part = not self.split, LEAST_PART
-            excess = self.boot.zones
-            self.joining = [due for due in self.joining if due[2] == 0]
-            for proxy, zone in self.proxy_zone.items():
-                self.joining.append((proxy, excess if self.split else zone, self.levels.lean))
-            if not self.split:
-                self.bound[excess] = []
-
-    def sinks(self, tasks: list[int]) -> list[int]:
-        """The slowest of the warm tasks, as many as are left to the methods that give way."""
-        size, skill = self.size or self.roster.hint, self.solver.skill
-        return sorted(tasks, key=lambda i: (size[i] * skill[i], i))[:max(1, round(len(tasks) * self.part))]
-
     def improve(self, now: int) -> bool:
         """One report period: judge, step, and ask the gate."""
-        roster, est = self.roster, self.est
-        tasks = roster.open()
+        est, home, tables, tasks = self.est, self.roster.zone, self.tables, self.roster.open()
         if not tasks:
             return self.gate.decide(0.0, 0.0, True)
-        self.health.judge(est, tasks, roster.zone)
-        heard = est.spread(est.cost, est.soft / 2, tasks, roster.zone)
-        for zone, before in enumerate(self.tables.published[:-1]):
-            self.levels.move(zone, est.stress(zone, before))
-        warm = [self.ramp.part(now, started) >= 1.0 for started in roster.started]
-        size = est.sizes(roster.hint, tasks, warm)
-        tried, bad = (sum(self.est.fresh[i][k] for i in tasks) for k in (0, 1))
-        self.jam = bad > JAM * (tried + PRIOR)
-        # In a jam RPCs come again and again and gather on whoever has room, a cold task above all: it is
-        # offered less by as much as tries outnumber the best the fleet has done. Proxies that keep away
-        # from a task after some failures in a row leave nothing else to pick, whatever the weight: then none.
-        self.peak = max(self.peak * 0.98, (tried - bad) / len(tasks))
-        self.ease = min(1.0, self.peak * len(tasks) / tried) if tried > 0 else 1.0
-        if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
-            self.ease = 0.0
-        self.part_methods(tasks)
+        self.health.judge(est, tasks, home)
+        heard = est.spread(est.cost, est.soft / 2, tasks, home)
+        for zone in est.zones:
+            self.levels.move(zone, est.stress(zone, tables.lines[zone]))
+        self.ramp.judge(now, *est.failing(tasks), len(tasks))
+        rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
+        tables.part_methods(self.ramp.jam, self.lean, *rest)
+        warm = [i for i in tasks if self.ramp.part(now, self.roster.started[i]) >= 1.0]
+        size = est.sizes(self.roster.hint, tasks, warm)
         est.age()
-        self.size = size
+        costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
+        self.solver.step(costs, size, tasks, home)
         published = current = 0.0
-        costs = [self.solver.costs(z, heard[z], tasks, roster.zone) for z in range(self.boot.zones)]
-        self.solver.step(costs, size, tasks, roster.zone)
         for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
-            before = self.tables.published[zone]
-            demand = sum(self.rate[p] for p in self.bound[zone])
-            total_before = sum(before.get(i, 0.0) for i in tasks)
-            if demand > 0 and total_before > 0:
-                published += demand * sum(before.get(i, 0.0) * cost[i] for i in tasks) / total_before
-                current += demand * sum(lines[i] * cost[i] for i in lines) / sum(lines.values())
+            before = {i: w for i, w in tables.lines[zone].items() if i in cost}
+            if tables.bound[zone] and before:
+                demand = tables.demand(zone)
+                published += demand * sum(w * cost[i] for i, w in before.items()) / sum(before.values())
+                current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
         return self.gate.decide(published, current, not self.outbox.room(0, 0.5))
 
-    def wanted(self, now: int, zone: int, tasks: list[int]) -> tuple[dict, dict]:
-        ramp = [self.ramp.part(now, started) for started in self.roster.started]
-        sinks = self.sinks([i for i in tasks if ramp[i] >= 1.0]) if self.split else []
-        if zone == self.boot.zones:
-            return {i: 1.0 for i in sinks}, {i: 1.0 for i in sinks}
-        home, health = self.roster.zone, self.health.factor[zone]
-        learnt = self.solver.weights(zone, self.roster.hint, tasks, home)
-        carried = sum(self.rate[p] for p in self.bound[zone]) * sum(ramp[i] for i in tasks)
-        own = sum(ramp[i] * health[i] for i in tasks if home[i] == zone)
-        apart = self.jam and not self.split and own * sum(self.rate[p] for p in self.proxy_zone) > carried / 2
-        if apart:
-            # A jam spreads along lines that cross zones. While it lasts each zone with at least half its
-            # part of the sound tasks keeps to its own, so that those with less to carry come free.
-            learnt = {i: w if home[i] == zone else w * TRICKLE for i, w in learnt.items()}
-        for i in sinks:
-            learnt[i] *= TRICKLE
-        return self.tables.compose(learnt, ramp, health, self.ease, apart)
-
-    def publish(self, now: int, period: bool, push: bool, listed: bool) -> list[Order]:
+    def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
+        """The lines a table should hold, and the cap each is held under."""
+        tables, home = self.tables, self.roster.zone
+        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
+        sinks: list[int] = []
+        if tables.parted or tables.bound[tables.excess]:
+            # The slowest of the warm tasks are left to the methods that give way.
+            able = {i: self.solver.size[i] * self.solver.skill[i] for i in tasks if part[i] >= 1.0}
+            able = able or dict.fromkeys(tasks, 1.0)
+            sinks = sorted(able, key=lambda i: (able[i], i))[:max(1, round(len(able) * tables.part))]
+        if table == tables.excess:
+            return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
+        factor = self.health.factor[table]
+        lines = self.solver.weights(table, tasks, home)
+        own = sum(part[i] * factor[i] for i in tasks if home[i] == table)
+        share = tables.demand(table) / (sum(tables.rate[p] for p in tables.zone) or 1.0)
+        # A jam spreads along lines that cross zones. While it lasts each zone with at least half its part
+        # of the sound tasks keeps to its own, so that those with less to carry come free.
+        apart = self.ramp.jam and not tables.parted and own > share * sum(part.values()) / 2
+        for i in lines:
+            out = i in sinks or apart and home[i] != table
+            lines[i] *= factor[i] * (TRICKLE if out else 1.0)
+        caps = {i: factor[i] * part[i] + 2 * apart + 4 * (i in sinks) for i in lines}
+        return self.ramp.hold(lines, part, factor), caps
+
+    def publish(self, now: int, push: bool) -> list[Order]:
         """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
-        box, tables = self.outbox, self.tables
-        if not (period or listed or self.joining or self.owed):
-            return []
-        tasks = self.roster.open()
-        orders: list[Order] = []
-        already, self.owed = box.sent, False
-        for zone in range(self.boot.zones + 1):
-            lines, caps = self.wanted(now, zone, tasks)
-            before, cap_before, proxies = tables.published[zone], tables.capped[zone], self.bound[zone]
+        box, tables, tasks = self.outbox, self.tables, self.roster.open()
+        orders, already, self.owed = [], box.sent, False
+        for table, before in enumerate(tables.lines):
+            lines, caps = self.wanted(now, table, tasks)
+            cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
             gone = [i for i in before if i not in lines]
             # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
-            levels = self.moved_levels(zone)
+            levels = {k: level for k, level in self.levels.wanted(table, self.ramp.jam).items()
+                      if sent.get(k, (1.0, self.boot.retry_default)) != level}
             if not box.may_send(now, proxies, len(gone) + len(moved) + len(levels), 0.5):
                 # What can wait waits; but lines that take a table's last ones out bring others along.
-                levels = []
+                levels = {}
                 moved = [i for i in moved if i not in before] if len(gone) == len(before) else []
                 if gone and not box.may_send(now, proxies, len(gone) + len(moved), 0.95):
                     gone, moved, self.owed = [], [], True
-            orders += [PutLine(lines[i], i, zone) for i in moved] + [PutLine(0.0, i, zone) for i in gone]
-            orders += [SetLevel(zone, 1 << method, *level) for method, level in levels]
+            orders += [PutLine(lines[i], i, table) for i in moved] + [PutLine(0.0, i, table) for i in gone]
+            orders += [SetLevel(table, 1 << k, *level) for k, level in levels.items()]
             for i in gone:
                 del before[i], cap_before[i]
             before.update((i, lines[i]) for i in moved)
             cap_before.update((i, caps[i]) for i in moved)
-            self.level_sent[zone].update(levels)
+            sent.update(levels)
             box.book(now, proxies, len(gone) + len(moved) + len(levels))
-        for due in self.joining[:]:
-            proxy, zone, methods = due
-            size = len(tables.published[zone]) + 1 + len(self.level_sent[zone])
-            if not tables.published[zone] or not box.may_send(now, [proxy], size, 0.9):
-                continue
-            orders.append(Attach(proxy, zone, methods))
-            self.joining.remove(due)
-            if proxy not in self.bound[zone]:
-                self.bound[zone].append(proxy)
-            box.book(now, [proxy], size)
-        return orders + box.stamp(already)
-
-    def moved_levels(self, zone: int) -> list[tuple[int, tuple[float, int]]]:
-        sent, usual = self.level_sent[zone], (1.0, self.boot.retry_default)
-        wanted = self.levels.wanted(zone, self.jam)
-        return [(k, level) for k, level in wanted.items() if sent.get(k, usual) != level]
+        return orders + tables.attach(now, box) + box.stamp(already)
