--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -359,18 +359,21 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.off = boot.admission == Admission.OFF
-        self.open = [1.0] * (boot.zones + 1)
+        self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
+        # A cut shows when it has travelled, the tries let in before it have run out, and sums have come.
+        self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)
         # The table of methods: a row each, with its way to try again and whether it gives way in a jam.
         most = max(m.criticality for m in boot.methods)
         self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
-    def move(self, zone: int, stress: float) -> None:
-        """Down quickly while a zone is in a jam, up slowly: the jam must drain before more comes in."""
-        if stress > 1.0 and not self.off:
-            self.open[zone] = max(0.1, self.open[zone] * (1 - 0.4 * min(1.0, stress - 1.0)))
+    def move(self, now: int, zone: int, stress: float) -> None:
+        """Down by a good part in a jam, then no further before that can show; up as long as things go well."""
+        if stress > 1.0 and not self.off and now >= self.cut_at[zone] + self.lag:
+            self.open[zone] = max(0.1, self.open[zone] * (1 - 0.6 * min(1.0, (stress - 1.0) / 2)))
+            self.cut_at[zone] = now
         elif stress < 0.8:
-            self.open[zone] = min(1.0, self.open[zone] + 0.05)
+            self.open[zone] = min(1.0, self.open[zone] + (0.1 if stress < 0.5 else 0.03))
 
     def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
@@ -572,7 +575,7 @@
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
         for zone in est.zones:
-            self.levels.move(zone, est.stress(zone, tables.lines[zone]))
+            self.levels.move(now, zone, est.stress(zone, tables.lines[zone]))
         self.ramp.judge(now, *est.failing(tasks), len(tasks))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         tables.part_methods(self.ramp.jam, self.lean, *rest)
