--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -15,8 +15,8 @@
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, Order, PutLine,
-    Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, OfferedLoad, Order,
+    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -106,6 +106,8 @@
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
         self.fresh: list[list[float]] = []
         self.met = [[0.0] * 3 for _ in self.zones]
+        self.offered = 0.0  # RPCs that came to proxies in a period, repeats and all
+        self.does: list[float] = []  # RPCs each task answers in a busy period
 
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.fresh)
@@ -141,6 +143,13 @@
             row[:] = [x * MEMORY for x in row]
         for row in self.fresh + self.met:
             row[:] = [0.0] * 3
+        self.offered = 0.0
+
+    def able(self, tasks: list[int]) -> float:
+        """What part of the RPCs that come the tasks can answer, with a tenth kept free; 1 if not known."""
+        if self.offered <= 0 or not self.does:
+            return 1.0
+        return min(1.0, 0.9 * sum(self.does[i] for i in tasks if i < len(self.does)) / self.offered)
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
         """Tries of this period and how many of them were bad."""
@@ -154,7 +163,7 @@
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
-                if i in warm:
+                if i in warm and self.fresh[i][1] < JAM * self.fresh[i][0]:  # a jam shows nothing of speed
                     self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
                     self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
             self.util[i] = -1.0
@@ -163,6 +172,7 @@
             return hint
         unit = served / sum(self.busy[i] * hint[i] for i in tasks)
         found = [(s + h * unit) / (b + 1.0) for s, h, b in zip(self.served, hint, self.busy)]
+        self.does = found
         scale = sum(hint[i] for i in tasks) / sum(found[i] for i in tasks)
         return [x * scale for x in found]
 
@@ -367,13 +377,17 @@
         self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
-    def move(self, now: int, zone: int, stress: float) -> None:
-        """Down by a good part in a jam, then no further before that can show; up as long as things go well."""
+    def move(self, now: int, zone: int, stress: float, able: float) -> None:
+        """Down in a jam to less than the fleet is able to do, then no further before that can show.
+
+        Up quickly to what it is able to do, of what arrives, and past that with care.
+        """
+        level = self.open[zone]
         if stress > 1.0 and not self.off and now >= self.cut_at[zone] + self.lag:
-            self.open[zone] = max(0.1, self.open[zone] * (1 - 0.6 * min(1.0, (stress - 1.0) / 2)))
+            self.open[zone] = max(0.1, min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2)))
             self.cut_at[zone] = now
         elif stress < 0.8:
-            self.open[zone] = min(1.0, self.open[zone] + (0.1 if stress < 0.5 else 0.03))
+            self.open[zone] = min(1.0, max(min(able, level + 0.1), level + 0.02))
 
     def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
@@ -525,6 +539,8 @@
         for event in events:
             if isinstance(event, TrafficReport):
                 self.est.hear(event)
+            elif isinstance(event, OfferedLoad) and event.over > 0:
+                self.est.offered += event.rpcs * self.boot.period / max(event.over, self.boot.period)
             elif isinstance(event, RosterChange):
                 self.listen(now, event)
             elif isinstance(event, Receipt):
@@ -574,8 +590,9 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
+        able = est.able(tasks)
         for zone in est.zones:
-            self.levels.move(now, zone, est.stress(zone, tables.lines[zone]))
+            self.levels.move(now, zone, est.stress(zone, tables.lines[zone]), able)
         self.ramp.judge(now, *est.failing(tasks), len(tasks))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         tables.part_methods(self.ramp.jam, self.lean, *rest)
