--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -98,9 +98,9 @@
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
         # By zone of proxies and task: tries, bad ones, and what they cost in latency.
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        self.util_at = boot.load_names.index("util") if "util" in boot.load_names else None
         self.util: list[float] = []  # newest utilisation heard of each task, -1 once used
-        self.load: list[float] = []  # the same, smoothed
+        self.queue: list[float] = []  # newest heard of RPCs waiting at each
+        self.load: list[float] = []  # utilisation, smoothed
         self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
         self.busy: list[float] = []
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
@@ -113,7 +113,7 @@
         more = tasks - len(self.fresh)
         self.fresh.extend([0.0] * 3 for _ in range(more))
         self.util.extend([-1.0] * more)
-        for row in (self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
+        for row in (self.queue, self.does, self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
             row.extend([0.0] * more)
 
     def forget(self, task: int) -> None:
@@ -129,9 +129,9 @@
         self.tries[zone][task] += bad + good
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
-        if self.util_at is not None and len(report.load) > self.util_at:
-            util = report.load[self.util_at]
-            self.util[task] = util if 0.0 <= util <= 1.5 else -1.0
+        told = dict(zip(self.boot.load_names, report.load))
+        self.util[task] = min(told.get("util", -1.0), 1.5)
+        self.queue[task] = max(0.0, min(told.get("queue", 0.0), 1e6))
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
             # What was held back for long counts as one period's worth.
             figure *= self.boot.period / max(report.over, self.boot.period)
@@ -143,13 +143,12 @@
             row[:] = [x * MEMORY for x in row]
         for row in self.fresh + self.met:
             row[:] = [0.0] * 3
-        self.offered = 0.0
+        self.offered /= 2
 
     def able(self, tasks: list[int]) -> float:
         """What part of the RPCs that come the tasks can answer, with a tenth kept free; 1 if not known."""
-        if self.offered <= 0 or not self.does:
-            return 1.0
-        return min(1.0, 0.9 * sum(self.does[i] for i in tasks if i < len(self.does)) / self.offered)
+        does = sum(self.does[i] for i in tasks)
+        return min(1.0, 0.85 * does / self.offered) if does > 0 and self.offered > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
         """Tries of this period and how many of them were bad."""
@@ -183,11 +182,14 @@
         weights and health must mend, not levels.
         """
         tries, bad, slow = self.met[zone]
-        told = [i for i in lines if self.util[i] >= 0.0]
-        idle = sum(lines[i] * (0.85 - self.util[i]) for i in told)
-        if tries < PRIOR or idle > 0:
+        if tries < PRIOR or self.idle(lines):
             return 0.0
-        return slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM
+        wait = sum(w * self.queue[i] / self.does[i] for i, w in lines.items() if self.does[i] > 0)
+        wait *= self.boot.period / sum(lines.values())
+        return max(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM, wait / self.soft * 3)
+
+    def idle(self, lines: dict[int, float]) -> bool:
+        return sum(w * (0.85 - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news.
@@ -378,16 +380,17 @@
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
     def move(self, now: int, zone: int, stress: float, able: float) -> None:
-        """Down in a jam to less than the fleet is able to do, then no further before that can show.
+        """Down at once to what the fleet is able to do of what comes, where its cores are busy.
 
-        Up quickly to what it is able to do, of what arrives, and past that with care.
+        Further down in a jam, which must drain, but not again before that can show. Up with care.
         """
         level = self.open[zone]
-        if stress > 1.0 and not self.off and now >= self.cut_at[zone] + self.lag:
-            self.open[zone] = max(0.1, min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2)))
+        if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
+            level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
             self.cut_at[zone] = now
-        elif stress < 0.8:
-            self.open[zone] = min(1.0, max(min(able, level + 0.1), level + 0.02))
+        elif stress < 1.0:
+            level = min(level + 0.05, able)
+        self.open[zone] = 1.0 if self.off else max(0.1, level)
 
     def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
@@ -540,7 +543,7 @@
             if isinstance(event, TrafficReport):
                 self.est.hear(event)
             elif isinstance(event, OfferedLoad) and event.over > 0:
-                self.est.offered += event.rpcs * self.boot.period / max(event.over, self.boot.period)
+                self.est.offered += event.rpcs * self.boot.period / max(event.over, self.boot.period) / 2
             elif isinstance(event, RosterChange):
                 self.listen(now, event)
             elif isinstance(event, Receipt):
@@ -592,7 +595,8 @@
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
         able = est.able(tasks)
         for zone in est.zones:
-            self.levels.move(now, zone, est.stress(zone, tables.lines[zone]), able)
+            lines = tables.lines[zone]
+            self.levels.move(now, zone, est.stress(zone, lines), 1.0 if est.idle(lines) else able)
         self.ramp.judge(now, *est.failing(tasks), len(tasks))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         tables.part_methods(self.ramp.jam, self.lean, *rest)
