--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -16,7 +16,7 @@
 
 from hollyridge.interface import (
     Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, OfferedLoad, Order,
-    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    PutLine, Receipt, Repeat, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -403,7 +403,8 @@
     After proof that the first never ran it is always safe, whatever the method's repeat mode, group and
     window, and whichever zones a table's tasks are in.
     """
-    return 1
+    safe = method.repeat == Repeat.IDEMPOTENT
+    return 2 if safe else 1
 
 
 class Outbox:
