--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -16,7 +16,7 @@
 
 from hollyridge.interface import (
     Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, OfferedLoad, Order,
-    PutLine, Receipt, Repeat, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -250,7 +250,7 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.jam, self.ease, self.peak, self.calm_at = False, 1.0, 0.0, 0
+        self.jam, self.calm, self.ease, self.peak, self.calm_at = False, False, 1.0, 0.0, 0
 
     def begin(self, now: int) -> None:
         """An instance that starts over in a jam hears of it only when tries have run out of time."""
@@ -272,6 +272,7 @@
         there a cold task is not listed at all meanwhile.
         """
         self.jam = bad > JAM * (tried + PRIOR)
+        self.calm = bad < JAM / 10 * tried
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
         self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
         if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
@@ -392,9 +393,9 @@
             level = min(level + 0.05, able)
         self.open[zone] = 1.0 if self.off else max(0.1, level)
 
-    def wanted(self, zone: int, jam: bool) -> dict[int, tuple[float, int]]:
+    def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
-        return {k: (round(self.open[zone] * 20) / 20, 0 if jam else way) for k, way, _ in self.rows}
+        return {k: (round(self.open[zone] * 20) / 20, way if calm else 0) for k, way, _ in self.rows}
 
 
 def retry_way(method: MethodTerms) -> int:
@@ -403,8 +404,7 @@
     After proof that the first never ran it is always safe, whatever the method's repeat mode, group and
     window, and whichever zones a table's tasks are in.
     """
-    safe = method.repeat == Repeat.IDEMPOTENT
-    return 2 if safe else 1
+    return 1
 
 
 class Outbox:
@@ -653,7 +653,7 @@
             # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
-            levels = {k: level for k, level in self.levels.wanted(table, self.ramp.jam).items()
+            levels = {k: level for k, level in self.levels.wanted(table, self.ramp.calm).items()
                       if sent.get(k, (1.0, self.boot.retry_default)) != level}
             if not box.may_send(now, proxies, len(gone) + len(moved) + len(levels), 0.5):
                 # What can wait waits; but lines that take a table's last ones out bring others along.
