--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -27,6 +27,7 @@
 START_REACH = 0.6  # part of a line's weight in the tables of other zones, at the start
 LEAST_REACH = 0.3  # and at the least
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
+BUSY = 0.85  # utilisation from which levels act, and which they aim at
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
 LEAST_PART = 1 / 9  # of the tasks, left in a jam to methods that give way
@@ -41,10 +42,9 @@
         self.boot, self.chance = boot, rng.random
         self.state: list[int] = []
         self.zone: list[int] = []
-        self.hint: list[float] = []
+        self.hint: list[float] = []  # listed size
         self.started: list[int] = []
-        self.ask_at: int | None = 0 if boot.subscribe else None
-        self.failures = 0
+        self.ask_at, self.failures = 0 if boot.subscribe else None, 0
 
     def hear(self, now: int, change: RosterChange) -> list[int]:
         """Take a list event; returns the tasks that are new or have started again."""
@@ -83,8 +83,7 @@
     def calls(self, now: int) -> list[Order]:
         if self.ask_at is None or now < self.ask_at:
             return []
-        # The answer moves this on; an answer that never comes must not end the asking.
-        self.ask_at = now + self.boot.ask_within
+        self.ask_at = now + self.boot.ask_within  # an answer that never comes must not end the asking
         return [Watch(True)]
 
 
@@ -98,26 +97,27 @@
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
         # By zone of proxies and task: tries, bad ones, and what they cost in latency.
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        self.util: list[float] = []  # newest utilisation heard of each task, -1 once used
-        self.queue: list[float] = []  # newest heard of RPCs waiting at each
-        self.load: list[float] = []  # utilisation, smoothed
-        self.served: list[float] = []  # RPCs answered, and the busy periods they took, while warm
-        self.busy: list[float] = []
+        # By task: newest utilisation heard (-1 once used) and RPCs waiting; utilisation, smoothed; RPCs
+        # answered and the busy periods they took, while warm; what that makes in one busy period.
+        self.util: list[float] = []
+        self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
         self.fresh: list[list[float]] = []
         self.met = [[0.0] * 3 for _ in self.zones]
         self.offered = 0.0  # RPCs that came to proxies in a period, repeats and all
-        self.does: list[float] = []  # RPCs each task answers in a busy period
 
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.fresh)
         self.fresh.extend([0.0] * 3 for _ in range(more))
         self.util.extend([-1.0] * more)
-        for row in (self.queue, self.does, self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
+        for row in self.rows():
             row.extend([0.0] * more)
 
+    def rows(self) -> list[list[float]]:
+        return [self.queue, self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
+
     def forget(self, task: int) -> None:
-        for row in (self.load, self.served, self.busy, *self.tries, *self.bad, *self.cost):
+        for row in self.rows():
             row[task] = 0.0
 
     def hear(self, report: TrafficReport) -> None:
@@ -133,10 +133,12 @@
         self.util[task] = min(told.get("util", -1.0), 1.5)
         self.queue[task] = max(0.0, min(told.get("queue", 0.0), 1e6))
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
-            # What was held back for long counts as one period's worth.
-            figure *= self.boot.period / max(report.over, self.boot.period)
-            self.fresh[task][k] += figure
-            self.met[zone][k] += figure
+            self.fresh[task][k] += self.a_period(figure, report.over)
+            self.met[zone][k] += self.a_period(figure, report.over)
+
+    def a_period(self, figure: float, over: int) -> float:
+        """What was held back for long counts as one period's worth."""
+        return figure * self.boot.period / max(over, self.boot.period)
 
     def age(self) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
@@ -146,9 +148,9 @@
         self.offered /= 2
 
     def able(self, tasks: list[int]) -> float:
-        """What part of the RPCs that come the tasks can answer, with a tenth kept free; 1 if not known."""
+        """What part of the RPCs that come the tasks can answer without being too busy; 1 if not known."""
         does = sum(self.does[i] for i in tasks)
-        return min(1.0, 0.85 * does / self.offered) if does > 0 and self.offered > 0 else 1.0
+        return min(1.0, BUSY * does / self.offered) if does > 0 and self.offered > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
         """Tries of this period and how many of them were bad."""
@@ -156,9 +158,7 @@
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
-
-        Where load reports tell no utilisation the listed size stands and latency has to teach the rest.
-        """
+        Where no utilisation is told the listed size stands, and latency has to teach the rest."""
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
@@ -168,19 +168,16 @@
             self.util[i] = -1.0
         served, busy = (sum(row[i] for i in tasks) for row in (self.served, self.busy))
         if busy <= 0 or served <= 0:
-            return hint
+            return list(hint)
         unit = served / sum(self.busy[i] * hint[i] for i in tasks)
         found = [(s + h * unit) / (b + 1.0) for s, h, b in zip(self.served, hint, self.busy)]
-        self.does = found
+        self.does[:] = found
         scale = sum(hint[i] for i in tasks) / sum(found[i] for i in tasks)
         return [x * scale for x in found]
 
     def stress(self, zone: int, lines: dict[int, float]) -> float:
-        """Above 1: a zone's tries end bad or late, which more RPCs would only make worse.
-
-        Nothing while the tasks of its table have idle cores: then work lies badly, or some hang, which
-        weights and health must mend, not levels.
-        """
+        """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse. None
+        while its table's tasks have idle cores: that is for weights and health to mend, not levels."""
         tries, bad, slow = self.met[zone]
         if tries < PRIOR or self.idle(lines):
             return 0.0
@@ -189,14 +186,11 @@
         return max(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM, wait / self.soft * 3)
 
     def idle(self, lines: dict[int, float]) -> bool:
-        return sum(w * (0.85 - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
+        return sum(w * (BUSY - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
-        """A figure per try for each (zone of proxies, task), from little news.
-
-        A task with few tries is judged by what all zones met at it and by what this zone met in the
-        task's zone; one with none counts as average.
-        """
+        """A figure per try for each (zone of proxies, task), from little news: with few tries, by what all
+        zones met at the task and by what this zone met in the task's zone; with none, average."""
         tries = self.tries
         n = {i: sum(row[i] for row in tries) for i in tasks}
         sums = {i: sum(row[i] for row in rows) for i in tasks}
@@ -219,17 +213,17 @@
 class Health:
     """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step.
 
-    Goes by what a zone's own proxies met, against the middle task of the best zone as they see it: fast
-    errors, hangs, silence and a cut look alike here and are met alike; overload, which all tasks show,
-    cuts nobody. Judged by zone, since a cut shows only from one side.
+    Goes by what a zone's proxies met (a cut shows from one side only), against the middle task of the best
+    zone as they see it: errors, hangs, silence and cuts are met alike; overload, seen at all, cuts nobody.
     """
 
     def __init__(self, boot: Bootstrap) -> None:
         self.factor: list[list[float]] = [[] for _ in range(boot.zones)]
 
-    def grow(self, tasks: int) -> None:
+    def restart(self, task: int) -> None:
         for row in self.factor:
-            row.extend([1.0] * (tasks - len(row)))
+            row.extend([1.0] * (task + 1 - len(row)))
+            row[task] = 1.0
 
     def judge(self, est: Estimates, tasks: list[int], home: list[int]) -> None:
         for zone, ratio in enumerate(est.spread(est.bad, 0.0, tasks, home)):
@@ -265,12 +259,9 @@
         return max(floor, int(8 * (floor + (1 - floor) * max(0, now - started) / self.boot.warm_up)) / 8)
 
     def judge(self, now: int, tried: float, bad: float, tasks: int) -> None:
-        """In a jam RPCs come again and again and gather on whoever has room, a cold task above all.
-
-        So it is offered less by as much as tries outnumber the best the fleet has done. Proxies that keep
-        away from a task after some failures in a row leave nothing else to pick, whatever the weight:
-        there a cold task is not listed at all meanwhile.
-        """
+        """In a jam RPCs come again and gather on whoever has room, a cold task above all: it is offered less
+        by as much as tries outnumber the best the fleet has done. Proxies that keep away from a task after
+        failures in a row leave nothing else to pick, whatever its weight: there none is listed meanwhile."""
         self.jam = bad > JAM * (tried + PRIOR)
         self.calm = bad < JAM / 10 * tried
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
@@ -290,27 +281,24 @@
 class Solver:
     """The feedback loop on heard latency: a weight goes towards size x the task's skill x the zone's reach.
 
-    Skill is learnt once for all tables, against the tasks of its own zone; reach once for each pair of
-    zones: so little news moves many lines. A step moves a line by at most a tenth of the task's size.
+    Skill is learnt for all tables, against its own zone's tasks, reach for each pair of zones: so little
+    news moves many lines. A step moves a line by at most a tenth of the task's size.
     """
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
         self.zones, self.est = range(boot.zones), est
         self.stride = STEP / boot.assigners
-        # What crossing zones costs, in terms of latency: its price is a part of an RPC's criticality,
-        # which is what an RPC that misses its soft deadline loses.
+        # Crossing zones as latency: its price is a part of what an RPC past its soft deadline loses.
         self.toll = 2 * boot.cross_zone_price * est.soft
         self.skill: list[float] = []
         self.size: list[float] = []
         self.lines: list[dict[int, float]] = [{} for _ in self.zones]
         self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
 
-    def grow(self, hint: list[float]) -> None:
+    def restart(self, task: int, hint: list[float]) -> None:
         self.skill.extend([1.0] * (len(hint) - len(self.skill)))
-        self.size.extend(hint[len(self.size):])
-
-    def restart(self, task: int, hint: float) -> None:
-        self.skill[task], self.size[task] = 1.0, hint
+        self.size = self.size + hint[len(self.size):]
+        self.skill[task], self.size[task] = 1.0, hint[task]
         for own in self.lines:
             own.pop(task, None)
 
@@ -381,10 +369,8 @@
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
     def move(self, now: int, zone: int, stress: float, able: float) -> None:
-        """Down at once to what the fleet is able to do of what comes, where its cores are busy.
-
-        Further down in a jam, which must drain, but not again before that can show. Up with care.
-        """
+        """Down at once to what the fleet is able to do of what comes, where its cores are busy; further in
+        a jam, which must drain, but not again before that can show. Up with care."""
         level = self.open[zone]
         if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
             level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
@@ -399,27 +385,22 @@
 
 
 def retry_way(method: MethodTerms) -> int:
-    """How a proxy may try again without an effect happening twice.
-
-    After proof that the first never ran it is always safe, whatever the method's repeat mode, group and
-    window, and whichever zones a table's tasks are in.
-    """
+    """How a proxy may try again with no effect twice: on proof that the first never ran that is always safe,
+    whatever the method's repeat mode, group and window, and whichever zones a table's tasks are in."""
     return 1
 
 
 class Outbox:
     """What may leave: within the lines that may wait and the messages a proxy may get.
 
-    What waits is counted by proof, not by an assumed pace: messages leave one after the other, so that a
-    receipt from any proxy shows that all sent before it has left. A stalled proxy's late receipt proves
-    less, never more; a slow channel shows as proof that stays away.
+    What waits is counted by proof, not by an assumed pace: messages leave in order, so a receipt from any
+    proxy shows that all sent before has left. A stalled proxy's late receipt proves less, never more.
     """
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
         self.sent = self.left = 0.0  # lines ever sent, and proven to have left
-        self.at = 0
-        self.mark = 0
+        self.at = self.mark = 0
         self.marks: dict[int, float] = {}  # lines sent before each mark's reply
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
@@ -448,10 +429,9 @@
         return True
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
-        if lines and proxies:
-            self.sent += (lines + self.boot.overhead + 1) * len(proxies)
-            for proxy in proxies:
-                self.written.setdefault(proxy, deque()).append(now)
+        self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
+        for proxy in proxies if lines else ():
+            self.written.setdefault(proxy, deque()).append(now)
 
     def stamp(self, already: float) -> list[Order]:
         """A mark for this reply's messages, if there are any."""
@@ -495,11 +475,9 @@
         return sum(self.rate[p] for p, at in self.zone.items() if at == zone)
 
     def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
-        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks.
-
-        So the rest come free of RPCs that run out of time. The few grow while the rest do well (what they
-        tried and how much of it was bad), and all are together again when the jam is over.
-        """
+        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks: the
+        rest come free of RPCs that run out of time. The few grow while the rest do well (what they tried
+        and how much of it was bad), and all are together again when the jam is over."""
         if bad > JAM * tried:
             self.part = max(LEAST_PART, self.part / 2)
         elif bad < JAM / 5 * tried:
@@ -534,8 +512,7 @@
         self.ramp, self.solver, self.gate = Ramp(boot), Solver(boot, self.est), Gate()
         self.levels, self.tables, self.outbox = Levels(boot), Tables(boot), Outbox(boot)
         self.lean = self.levels.lean if self.levels.off else 0
-        self.next_period: int | None = None
-        self.owed, self.token = False, 0
+        self.next_period, self.owed, self.token = -1, False, 0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         self.outbox.drain(now)
@@ -543,8 +520,8 @@
         for event in events:
             if isinstance(event, TrafficReport):
                 self.est.hear(event)
-            elif isinstance(event, OfferedLoad) and event.over > 0:
-                self.est.offered += event.rpcs * self.boot.period / max(event.over, self.boot.period) / 2
+            elif isinstance(event, OfferedLoad):
+                self.est.offered += self.est.a_period(event.rpcs, event.over) / 2
             elif isinstance(event, RosterChange):
                 self.listen(now, event)
             elif isinstance(event, Receipt):
@@ -553,7 +530,7 @@
                 self.tables.join(event, self.lean)
             elif isinstance(event, Left):
                 self.tables.leave(event.proxy)
-        if self.next_period is None:
+        if self.next_period < 0:
             self.next_period = now
             self.ramp.begin(now)
         if self.boot.partitions:  # key slices are not decided yet
@@ -561,17 +538,13 @@
         # A period is worked as its reports come, not at a clock tick long after; the timer stands in
         # for reports that stay away.
         period = now >= self.next_period - self.boot.period * (TrafficReport in kinds)
-        push = False
-        if period:
-            self.next_period = now + self.boot.period * 3 // 2
-            push = self.improve(now)
+        push = period and self.improve(now)
         orders = self.roster.calls(now)
         if period or RosterChange in kinds or self.tables.joining or self.owed:
             orders += self.publish(now, push)
         if period or self.owed or kinds & {Woke, RosterChange}:
-            soon = min(self.next_period, self.roster.ask_at or self.next_period)
-            if self.tables.joining or self.owed:
-                soon = min(soon, now + self.boot.period // 8)
+            hurry = now + self.boot.period // 8 if self.tables.joining or self.owed else self.next_period
+            soon = min(self.next_period, self.roster.ask_at or self.next_period, hurry)
             self.token += 1
             orders.append(WakeAt(self.token, max(soon - now, 1000)))
         return orders
@@ -579,17 +552,15 @@
     def listen(self, now: int, change: RosterChange) -> None:
         fresh = self.roster.hear(now, change)
         self.est.grow(len(self.roster.state))
-        self.health.grow(len(self.roster.state))
-        self.solver.grow(self.roster.hint)
         for task in fresh:
             self.est.forget(task)
-            self.solver.restart(task, self.roster.hint[task])
-            for row in self.health.factor:
-                row[task] = 1.0
+            self.health.restart(task)
+            self.solver.restart(task, self.roster.hint)
 
     def improve(self, now: int) -> bool:
         """One report period: judge, step, and ask the gate."""
         est, home, tables, tasks = self.est, self.roster.zone, self.tables, self.roster.open()
+        self.next_period = now + self.boot.period * 3 // 2
         if not tasks:
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, home)
@@ -623,9 +594,9 @@
         sinks: list[int] = []
         if tables.parted or tables.bound[tables.excess]:
             # The slowest of the warm tasks are left to the methods that give way.
-            able = {i: self.solver.size[i] * self.solver.skill[i] for i in tasks if part[i] >= 1.0}
-            able = able or dict.fromkeys(tasks, 1.0)
-            sinks = sorted(able, key=lambda i: (able[i], i))[:max(1, round(len(able) * tables.part))]
+            able = [(self.solver.size[i] * self.solver.skill[i], i) for i in tasks if part[i] >= 1.0]
+            able = sorted(able or [(0.0, i) for i in tasks])
+            sinks = [i for _, i in able[:max(1, round(len(able) * tables.part))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
