--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -147,9 +147,9 @@
             row[:] = [0.0] * 3
         self.offered /= 2
 
-    def able(self, tasks: list[int]) -> float:
+    def able(self, part: dict[int, float]) -> float:
         """What part of the RPCs that come the tasks can answer without being too busy; 1 if not known."""
-        does = sum(self.does[i] for i in tasks)
+        does = sum(self.does[i] * p for i, p in part.items())
         return min(1.0, BUSY * does / self.offered) if does > 0 and self.offered > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
@@ -368,16 +368,16 @@
         self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
 
-    def move(self, now: int, zone: int, stress: float, able: float) -> None:
+    def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
         """Down at once to what the fleet is able to do of what comes, where its cores are busy; further in
-        a jam, which must drain, but not again before that can show. Up with care."""
+        a jam, which must drain, but not again before that can show. Up to that quickly, past it with care."""
         level = self.open[zone]
         if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
             level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
             self.cut_at[zone] = now
         elif stress < 1.0:
-            level = min(level + 0.05, able)
-        self.open[zone] = 1.0 if self.off else max(0.1, level)
+            level = min(level + 0.15, able) if level < able else able if busy else level + 0.03
+        self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
     def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
         """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
@@ -565,15 +565,15 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
-        able = est.able(tasks)
+        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
+        able = est.able(part)
         for zone in est.zones:
             lines = tables.lines[zone]
-            self.levels.move(now, zone, est.stress(zone, lines), 1.0 if est.idle(lines) else able)
+            self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
         self.ramp.judge(now, *est.failing(tasks), len(tasks))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         tables.part_methods(self.ramp.jam, self.lean, *rest)
-        warm = [i for i in tasks if self.ramp.part(now, self.roster.started[i]) >= 1.0]
-        size = est.sizes(self.roster.hint, tasks, warm)
+        size = est.sizes(self.roster.hint, tasks, [i for i in tasks if part[i] >= 1.0])
         est.age()
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
         self.solver.step(costs, size, tasks, home)
