--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -270,9 +270,8 @@
             self.ease = 0.0
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average, however little the others
-        in its zone weigh, and less where so many are cold that a busy fleet's work would be too much for
-        them: a third of the stated multiple, as p2c may double it. With nobody warm all are held alike."""
+        """A cold task gets at most its part of what a warm one carries on average, and less where so many are
+        cold that a busy fleet's work would pass a third of the stated multiple (p2c may double it)."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
         able = self.boot.fall_multiple / 3 * sum(part[i] for i in lines) / (BUSY * max(len(lines), 1))
         even = self.ease * min(1.0, able) * sum(warm) / len(warm) if warm else 1e9
