--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -319,6 +319,9 @@
                 # on the quickest until a burst tips them into a jam.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
                 self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
+        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0]
+        spare = (BUSY - sum(told) / len(told)) / BUSY if told else 0.0
+        least = LEAST_REACH * max(0.2, min(1.0, 2 - 3 * spare))
         for z, reach in enumerate(self.reach):
             mass, bill = ([0.0] * len(self.zones) for _ in range(2))
             for i in tasks:
@@ -331,7 +334,7 @@
                     # Wide at once where a zone is in trouble, home again only slowly.
                     reach[there] += (pull if pull > 0 else pull / 3) * self.stride
             most = max(reach)
-            reach[:] = [max(r / most, LEAST_REACH) for r in reach]
+            reach[:] = [max(r / most, least) for r in reach]
             old = self.lines[z]
             aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
             self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
