--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -416,21 +416,23 @@
     def receipt(self, receipt: Receipt) -> None:
         self.left = max(self.left, self.marks.get(receipt.mark, 0.0))
 
-    def room(self, lines: float, part: float) -> bool:
-        return self.sent - self.left + lines <= part * self.boot.most_waiting
-
-    def may_send(self, now: int, proxies: list[int], lines: int, part: float) -> bool:
-        """Whether a message to each leaves the channel and the proxies within this part of their limits."""
-        if not self.room(len(proxies) * (lines + self.boot.overhead + 1), part):
-            return False
+    def held(self) -> bool:
+        """What can wait is held while half the backlog waits."""
+        return self.sent - self.left >= self.boot.most_waiting / 2
+
+    def spare(self, now: int, proxies: list[int], part: float) -> int:
+        """Lines that a message to each may hold within this part of the channel's and the proxies' limits."""
+        if not proxies:
+            return 1 << 30
         since = now - self.boot.counted_over - self.boot.worst_transit
         for proxy in proxies if self.boot.messages_most > 0 else ():
             times = self.written.setdefault(proxy, deque())
             while times and times[0] < since:
                 times.popleft()
             if len(times) + 1 > part * self.boot.messages_most:
-                return False
-        return True
+                return 0
+        free = part * self.boot.most_waiting - (self.sent - self.left)
+        return max(0, int(free / len(proxies) - self.boot.overhead - 1))
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
         self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
@@ -497,7 +499,7 @@
         for due in self.joining[:]:
             proxy, table, _ = due
             size = len(self.lines[table]) + 1 + len(self.levels[table])
-            if self.lines[table] and box.may_send(now, [proxy], size, 0.9):
+            if self.lines[table] and box.spare(now, [proxy], 0.9) >= size:
                 orders.append(Attach(*due))
                 self.joining.remove(due)
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
@@ -589,7 +591,7 @@
                 demand = tables.demand(zone)
                 published += demand * sum(w * cost[i] for i, w in before.items()) / sum(before.values())
                 current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
-        return self.gate.decide(published, current, not self.outbox.room(0, 0.5))
+        return self.gate.decide(published, current, self.outbox.held())
 
     def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
         """The lines a table should hold, and the cap each is held under."""
@@ -630,12 +632,16 @@
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
             levels = {k: level for k, level in self.levels.wanted(table, self.ramp.calm).items()
                       if sent.get(k, (1.0, self.boot.retry_default)) != level}
-            if not box.may_send(now, proxies, len(gone) + len(moved) + len(levels), 0.5):
-                # What can wait waits; but lines that take a table's last ones out bring others along.
-                levels = {}
-                moved = [i for i in moved if i not in before] if len(gone) == len(before) else []
-                if gone and not box.may_send(now, proxies, len(gone) + len(moved), 0.95):
-                    gone, moved, self.owed = [], [], True
+            # Removals first; of what can wait, as much as there is room for, the largest moves first.
+            room = box.spare(now, proxies, 0.95)
+            spare = 0 if box.held() else box.spare(now, proxies, 0.6) - len(gone)
+            levels = levels if len(levels) <= spare else {}
+            moved.sort(key=lambda i: (-abs(lines[i] - before.get(i, 0.0)), i))
+            # Removals that take a table's last lines out bring others along.
+            spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
+            moved = moved[:max(spare, 0)]
+            if len(gone) + len(moved) + len(levels) > room:
+                gone, moved, levels, self.owed = gone[:room], [], {}, True
             orders += [PutLine(lines[i], i, table) for i in moved] + [PutLine(0.0, i, table) for i in gone]
             orders += [SetLevel(table, 1 << k, *level) for k, level in levels.items()]
             for i in gone:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -220,9 +220,9 @@
         already = box.sent
         box.book(0, [1, 2], 96)
         (mark,) = box.stamp(already)
-    assert box.sent - box.left == 400 and not box.room(1700, 1.0)
+    assert box.sent - box.left == 400 and box.spare(0, [1], 1.0) == 1596 and not box.held()
     box.receipt(api.Receipt(2, mark.mark, 9 * SECOND))
-    assert box.sent - box.left == 200 and box.room(1700, 1.0)
+    assert box.sent - box.left == 200 and box.spare(0, [1], 1.0) == 1796
     box.receipt(api.Receipt(2, 999, 1))
     assert box.left == 200
 
