--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -622,7 +622,7 @@
         """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
         box, tables, tasks = self.outbox, self.tables, self.roster.open()
         orders, already, self.owed = [], box.sent, False
-        for table, before in enumerate(tables.lines):
+        for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
