--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -607,15 +607,8 @@
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
         lines = self.solver.weights(table, tasks, home)
-        own = sum(part[i] * factor[i] for i in tasks if home[i] == table)
-        share = tables.demand(table) / (sum(tables.rate[p] for p in tables.zone) or 1.0)
-        # A jam spreads along lines that cross zones. While it lasts each zone with at least half its part
-        # of the sound tasks keeps to its own, so that those with less to carry come free.
-        apart = self.ramp.jam and not tables.parted and own > share * sum(part.values()) / 2
-        for i in lines:
-            out = i in sinks or apart and home[i] != table
-            lines[i] *= factor[i] * (TRICKLE if out else 1.0)
-        caps = {i: factor[i] * part[i] + 2 * apart + 4 * (i in sinks) for i in lines}
+        lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
+        caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
         return self.ramp.hold(lines, part, factor), caps
 
     def publish(self, now: int, push: bool) -> list[Order]:
