--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -258,16 +258,17 @@
         floor = self.boot.cold_from
         return max(floor, int(8 * (floor + (1 - floor) * max(0, now - started) / self.boot.warm_up)) / 8)
 
-    def judge(self, now: int, tried: float, bad: float, tasks: int) -> None:
+    def judge(self, now: int, tried: float, bad: float, tasks: int, cold: float) -> None:
         """In a jam RPCs come again and gather on whoever has room, a cold task above all: it is offered less
         by as much as tries outnumber the best the fleet has done. Proxies that keep away from a task after
-        failures in a row leave nothing else to pick, whatever its weight: there none is listed meanwhile."""
+        failures in a row leave nothing else to pick, whatever its weight: there cold tasks are listed only
+        if they could take all tries together, at half the stated multiple of what they are able to do."""
         self.jam = bad > JAM * (tried + PRIOR)
         self.calm = bad < JAM / 10 * tried
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
         self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
         if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
-            self.ease = 0.0
+            self.ease *= tried < self.boot.fall_multiple / 2 * cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
         """A cold task gets at most its part of what a warm one carries on average, and less where so many are
@@ -573,10 +574,11 @@
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able(part)
+        cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
+        self.ramp.judge(now, *est.failing(tasks), len(tasks), cold)
         for zone in est.zones:
             lines = tables.lines[zone]
             self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
-        self.ramp.judge(now, *est.failing(tasks), len(tasks))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         tables.part_methods(self.ramp.jam, self.lean, *rest)
         size = est.sizes(self.roster.hint, tasks, [i for i in tasks if part[i] >= 1.0])
