--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -100,11 +100,10 @@
         # By task: newest utilisation heard (-1 once used) and RPCs waiting; utilisation, smoothed; RPCs
         # answered and the busy periods they took, while warm; what that makes in one busy period.
         self.util: list[float] = []
-        self.queue, self.load, self.served, self.busy, self.does, self.pace = ([] for _ in range(6))
+        self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
         self.fresh: list[list[float]] = []
         self.met = [[0.0] * 3 for _ in self.zones]
-        self.usual = 0.0  # RPCs a warm task answers in a busy period
         self.offered = 0.0  # RPCs that came to proxies in a period, repeats and all
 
     def grow(self, tasks: int) -> None:
@@ -115,8 +114,7 @@
             row.extend([0.0] * more)
 
     def rows(self) -> list[list[float]]:
-        return [self.queue, self.load, self.served, self.busy, self.does, self.pace,
-                *self.tries, *self.bad, *self.cost]
+        return [self.queue, self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
 
     def forget(self, task: int) -> None:
         for row in self.rows():
@@ -164,9 +162,7 @@
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
-                if i not in warm and self.util[i] > 0.2:
-                    self.pace[i] += ((self.fresh[i][0] - self.fresh[i][1]) / self.util[i] - self.pace[i]) / 2
-                elif self.fresh[i][1] < JAM * self.fresh[i][0]:  # a jam shows nothing of speed
+                if i in warm and self.fresh[i][1] < JAM * self.fresh[i][0]:  # a jam shows nothing of speed
                     self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
                     self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
             self.util[i] = -1.0
@@ -176,7 +172,6 @@
         unit = served / sum(self.busy[i] * hint[i] for i in tasks)
         found = [(s + h * unit) / (b + 1.0) for s, h, b in zip(self.served, hint, self.busy)]
         self.does[:] = found
-        self.usual = sum(found[i] for i in warm) / len(warm) if warm else 0.0
         scale = sum(hint[i] for i in tasks) / sum(found[i] for i in tasks)
         return [x * scale for x in found]
 
@@ -385,8 +380,8 @@
         if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
             level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
             self.cut_at[zone] = now
-        elif stress < 1.0:
-            level = min(level + 0.15, able) if level < able else able if busy else level + 0.03
+        elif stress < 1.0 or busy:
+            level = min(level + 0.15 * (stress < 1.0), able) if level < able or busy else level + 0.03
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
     def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
@@ -577,7 +572,7 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
-        part = self.parts(now, tasks)
+        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able(part)
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
         self.ramp.judge(now, *est.failing(tasks), len(tasks), cold)
@@ -600,16 +595,10 @@
                 current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
         return self.gate.decide(published, current, self.outbox.held())
 
-    def parts(self, now: int, tasks: list[int]) -> dict[int, float]:
-        """What part of its usual work each task is able to do: as stated, or as seen if that is more."""
-        est = self.est
-        seen = {i: 0.7 * est.pace[i] / est.usual if est.usual > 0 else 0.0 for i in tasks}
-        return {i: max(self.ramp.part(now, self.roster.started[i]), min(int(8 * seen[i]) / 8, 0.875)) for i in tasks}
-
     def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
         """The lines a table should hold, and the cap each is held under."""
         tables, home = self.tables, self.roster.zone
-        part = self.parts(now, tasks)
+        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         sinks: list[int] = []
         if tables.parted or tables.bound[tables.excess]:
             # The slowest of the warm tasks are left to the methods that give way.
