--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -16,7 +16,7 @@
 
 from hollyridge.interface import (
     Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, OfferedLoad, Order,
-    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Pick, PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -228,6 +228,8 @@
     def judge(self, est: Estimates, tasks: list[int], home: list[int]) -> None:
         for zone, ratio in enumerate(est.spread(est.bad, 0.0, tasks, home)):
             factor = self.factor[zone]
+            if sum(est.tries[zone]) < PRIOR:  # nobody there to ask: what others met is not for this table
+                ratio = [0.0] * len(ratio)
             zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
@@ -244,7 +246,8 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.jam, self.calm, self.ease, self.peak, self.calm_at = False, False, 1.0, 0.0, 0
+        self.jam = self.calm = False
+        self.ease, self.peak, self.calm_at, self.boost = 1.0, 0.0, 0, 1.0
 
     def begin(self, now: int) -> None:
         """An instance that starts over in a jam hears of it only when tries have run out of time."""
@@ -252,30 +255,34 @@
         self.ease = 0.0 if self.boot.outlier_after > 0 else 1.0
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up to all of it, in steps of an eighth."""
+        """From the stated floor up in steps of an eighth; up to half the stated multiple of that while hardly
+        any tries fail: most tasks warm up quicker than the slowest that is stated."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
-        floor = self.boot.cold_from
-        return max(floor, int(8 * (floor + (1 - floor) * max(0, now - started) / self.boot.warm_up)) / 8)
+        part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
+        return min(0.99, max(1, int(8 * part * self.boost)) / 8)  # 1 is for warm ones alone
 
     def judge(self, now: int, tried: float, bad: float, tasks: int, cold: float) -> None:
         """In a jam RPCs come again and gather on whoever has room, a cold task above all: it is offered less
         by as much as tries outnumber the best the fleet has done. Proxies that keep away from a task after
         failures in a row leave nothing else to pick, whatever its weight: there cold tasks are listed only
-        if they could take all tries together, at half the stated multiple of what they are able to do."""
+        if their parts could take all tries together."""
         self.jam = bad > JAM * (tried + PRIOR)
         self.calm = bad < JAM / 10 * tried
+        self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR))
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
         self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
+        if self.jam and self.boot.pick == Pick.P2C:
+            self.ease /= 2  # with the least out, a cold task wins both draws that it is in
         if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
-            self.ease *= tried < self.boot.fall_multiple / 2 * cold
+            self.ease *= tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average, and less where so many are
-        cold that a busy fleet's work would pass a third of the stated multiple (p2c may double it)."""
+        """A cold task gets at most its part of what a warm one carries on average; less where so many are cold
+        that a busy fleet's work, divided like this, would bring them more than their parts."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
-        able = self.boot.fall_multiple / 3 * sum(part[i] for i in lines) / (BUSY * max(len(lines), 1))
-        even = self.ease * min(1.0, able) * sum(warm) / len(warm) if warm else 1e9
+        excess = BUSY * len(lines) - sum(p for i, p in part.items() if i in lines and p < 1.0)
+        even = self.ease * min(1.0, len(warm) / max(excess, 1e-9)) * sum(warm) / len(warm) if warm else 1e9
         return {i: max(w if part[i] >= 1.0 else part[i] * min(w, even * factor[i]), 1e-4)
                 for i, w in lines.items() if part[i] >= 1.0 or even > 0}
 
@@ -330,7 +337,7 @@
                 bill[home[i]] += weight[i] * costs[z][i]
             average = sum(b * r for b, r in zip(bill, reach)) / sum(m * r for m, r in zip(mass, reach))
             for there in self.zones:
-                if mass[there] > 0:
+                if mass[there] > 0 and sum(self.est.tries[z]) >= PRIOR:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
                     # Wide at once where a zone is in trouble, home again only slowly.
                     reach[there] += (pull if pull > 0 else pull / 3) * self.stride
@@ -580,8 +587,9 @@
             lines = tables.lines[zone]
             self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
-        tables.part_methods(self.ramp.jam, self.lean, *rest)
-        size = est.sizes(self.roster.hint, tasks, [i for i in tasks if part[i] >= 1.0])
+        warm = [i for i in tasks if part[i] >= 1.0]
+        tables.part_methods(self.ramp.jam and 2 * len(warm) > len(tasks), self.lean, *rest)
+        size = est.sizes(self.roster.hint, tasks, warm)
         est.age()
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
         self.solver.step(costs, size, tasks, home)
