--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -64,9 +64,8 @@
             row.extend([start] * more)
         fresh = []
         for task, zone, _sku, _cell, state, weight, started_at in change.entries:
-            was_open = self.state[task] == TaskState.READY
-            if state == TaskState.READY and (not was_open or started_at > self.started[task]):
-                fresh.append(task)
+            known = self.state[task] == TaskState.READY and started_at <= self.started[task]
+            fresh += [task] * (state == TaskState.READY and not known)
             self.state[task] = state
             if state != TaskState.GONE:
                 self.zone[task] = zone
@@ -116,10 +115,6 @@
     def rows(self) -> list[list[float]]:
         return [self.queue, self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
 
-    def forget(self, task: int) -> None:
-        for row in self.rows():
-            row[task] = 0.0
-
     def hear(self, report: TrafficReport) -> None:
         zone, task = report.zone, report.task
         if zone >= self.boot.zones or task >= len(self.util) or report.over <= 0 or report.tries <= 0:
@@ -247,12 +242,9 @@
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
         self.jam = self.calm = False
-        self.ease, self.peak, self.calm_at, self.boost = 1.0, 0.0, 0, 1.0
-
-    def begin(self, now: int) -> None:
-        """An instance that starts over in a jam hears of it only when tries have run out of time."""
-        self.calm_at = now + 2 * self.boot.period + max(m.deadline for m in self.boot.methods)
-        self.ease = 0.0 if self.boot.outlier_after > 0 else 1.0
+        self.ease, self.peak, self.boost = 0.0 if boot.outlier_after > 0 else 1.0, 0.0, 1.0
+        # Periods till an instance that starts over in a jam has heard tries run out of time.
+        self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
         """From the stated floor up in steps of an eighth; up to half the stated multiple of that while hardly
@@ -262,7 +254,7 @@
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
         return min(0.99, max(1, int(8 * part * self.boost)) / 8)  # 1 is for warm ones alone
 
-    def judge(self, now: int, tried: float, bad: float, tasks: int, cold: float) -> None:
+    def judge(self, tried: float, bad: float, tasks: int, cold: float) -> None:
         """In a jam RPCs come again and gather on whoever has room, a cold task above all: it is offered less
         by as much as tries outnumber the best the fleet has done. Proxies that keep away from a task after
         failures in a row leave nothing else to pick, whatever its weight: there cold tasks are listed only
@@ -272,17 +264,19 @@
         self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR))
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
         self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
-        if self.jam and self.boot.pick == Pick.P2C:
-            self.ease /= 2  # with the least out, a cold task wins both draws that it is in
-        if self.boot.outlier_after > 0 and (self.jam or now < self.calm_at):
+        self.deaf -= 1
+        if self.boot.outlier_after > 0 and (self.jam or self.deaf > 0):
             self.ease *= tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average; less where so many are cold
-        that a busy fleet's work, divided like this, would bring them more than their parts."""
+        """A cold task gets at most its part of what a warm one carries on average; less where so many are
+        cold that a busy fleet's work would bring them more than their parts, and half of that in a jam, where
+        p2c lets a cold task, with the least out, win both draws it is in."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
-        excess = BUSY * len(lines) - sum(p for i, p in part.items() if i in lines and p < 1.0)
-        even = self.ease * min(1.0, len(warm) / max(excess, 1e-9)) * sum(warm) / len(warm) if warm else 1e9
+        excess = BUSY * len(lines) - sum(p for p in part.values() if p < 1.0)
+        both = self.jam and self.boot.pick == Pick.P2C and 2 * len(warm) < len(lines)
+        ease = self.ease * min(1.0, len(warm) / max(excess, 1e-9)) / (2 if both else 1)
+        even = ease * sum(warm) / len(warm) if warm else 1e9
         return {i: max(w if part[i] >= 1.0 else part[i] * min(w, even * factor[i]), 1e-4)
                 for i, w in lines.items() if part[i] >= 1.0 or even > 0}
 
@@ -327,9 +321,8 @@
                 # on the quickest until a burst tips them into a jam.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
                 self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
-        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0]
-        spare = (BUSY - sum(told) / len(told)) / BUSY if told else 0.0
-        least = LEAST_REACH * max(0.2, min(1.0, 2 - 3 * spare))
+        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
+        least = LEAST_REACH * max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
         for z, reach in enumerate(self.reach):
             mass, bill = ([0.0] * len(self.zones) for _ in range(2))
             for i in tasks:
@@ -378,7 +371,7 @@
         # The table of methods: a row each, with its way to try again and whether it gives way in a jam.
         most = max(m.criticality for m in boot.methods)
         self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
-        self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way)
+        self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way and self.off)
 
     def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
         """Down at once to what the fleet is able to do of what comes, where its cores are busy; further in
@@ -424,8 +417,7 @@
     def receipt(self, receipt: Receipt) -> None:
         self.left = max(self.left, self.marks.get(receipt.mark, 0.0))
 
-    def held(self) -> bool:
-        """What can wait is held while half the backlog waits."""
+    def held(self) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= self.boot.most_waiting / 2
 
     def spare(self, now: int, proxies: list[int], part: float) -> int:
@@ -485,9 +477,6 @@
             self.bound = [[p for p in bound if p != proxy] for bound in self.bound]
             self.joining = [due for due in self.joining if due[0] != proxy]
 
-    def demand(self, zone: int) -> float:
-        return sum(self.rate[p] for p, at in self.zone.items() if at == zone)
-
     def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
         """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks: the
         rest come free of RPCs that run out of time. The few grow while the rest do well (what they tried
@@ -511,8 +500,8 @@
                 orders.append(Attach(*due))
                 self.joining.remove(due)
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
-                if due[2] and table != self.excess and proxy in self.bound[self.excess]:
-                    self.bound[self.excess].remove(proxy)
+                if due[2] and table != self.excess:
+                    self.bound[self.excess] = [p for p in self.bound[self.excess] if p != proxy]
                 box.book(now, [proxy], size)
         return orders
 
@@ -525,7 +514,6 @@
         self.roster, self.est, self.health = Roster(boot, Random(seed)), Estimates(boot), Health(boot)
         self.ramp, self.solver, self.gate = Ramp(boot), Solver(boot, self.est), Gate()
         self.levels, self.tables, self.outbox = Levels(boot), Tables(boot), Outbox(boot)
-        self.lean = self.levels.lean if self.levels.off else 0
         self.next_period, self.owed, self.token = -1, False, 0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
@@ -541,12 +529,9 @@
             elif isinstance(event, Receipt):
                 self.outbox.receipt(event)
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
-                self.tables.join(event, self.lean)
+                self.tables.join(event, self.levels.lean)
             elif isinstance(event, Left):
                 self.tables.leave(event.proxy)
-        if self.next_period < 0:
-            self.next_period = now
-            self.ramp.begin(now)
         if self.boot.partitions:  # key slices are not decided yet
             return []
         # A period is worked as its reports come, not at a clock tick long after; the timer stands in
@@ -567,7 +552,8 @@
         fresh = self.roster.hear(now, change)
         self.est.grow(len(self.roster.state))
         for task in fresh:
-            self.est.forget(task)
+            for row in self.est.rows():
+                row[task] = 0.0
             self.health.restart(task)
             self.solver.restart(task, self.roster.hint)
 
@@ -582,13 +568,13 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able(part)
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
-        self.ramp.judge(now, *est.failing(tasks), len(tasks), cold)
+        self.ramp.judge(*est.failing(tasks), len(tasks), cold)
         for zone in est.zones:
             lines = tables.lines[zone]
             self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         warm = [i for i in tasks if part[i] >= 1.0]
-        tables.part_methods(self.ramp.jam and 2 * len(warm) > len(tasks), self.lean, *rest)
+        tables.part_methods(self.ramp.jam and 4 * len(warm) > len(tasks), self.levels.lean, *rest)
         size = est.sizes(self.roster.hint, tasks, warm)
         est.age()
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
@@ -598,16 +584,15 @@
             lines, _ = self.wanted(now, zone, tasks)
             before = {i: w for i, w in tables.lines[zone].items() if i in cost}
             if tables.bound[zone] and before:
-                demand = tables.demand(zone)
+                demand = sum(tables.rate[p] for p in tables.bound[zone])
                 published += demand * sum(w * cost[i] for i, w in before.items()) / sum(before.values())
                 current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
         return self.gate.decide(published, current, self.outbox.held())
 
     def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
         """The lines a table should hold, and the cap each is held under."""
-        tables, home = self.tables, self.roster.zone
+        tables, sinks = self.tables, []
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
-        sinks: list[int] = []
         if tables.parted or tables.bound[tables.excess]:
             # The slowest of the warm tasks are left to the methods that give way.
             able = [(self.solver.size[i] * self.solver.skill[i], i) for i in tasks if part[i] >= 1.0]
@@ -616,7 +601,7 @@
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
-        lines = self.solver.weights(table, tasks, home)
+        lines = self.solver.weights(table, tasks, self.roster.zone)
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
         caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
         return self.ramp.hold(lines, part, factor), caps
