News too old to show a jam counts as one for cold tasks

The age of news is what has passed since a proxy joined less what its sums cover. Should hold for any cause of late sums; may hurt releases then.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -94,15 +94,15 @@
         total = sum(m.criticality for m in boot.methods) or 1.0
         self.soft = sum(m.soft_deadline * m.criticality for m in boot.methods) / total
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
-        # By zone of proxies and task: tries, bad ones, and what they cost in latency.
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        # By task: newest utilisation heard (-1 once used) and RPCs waiting; utilisation, smoothed; RPCs
-        # answered and the busy periods they took, while warm; what that makes in one busy period.
+        # Newest utilisation heard (-1 once used) and RPCs waiting; utilisation, smoothed; RPCs answered and
+        # the busy periods they took, while warm; what that makes in one busy period.
         self.util: list[float] = []
         self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
         self.fresh: list[list[float]] = []
         self.met = [[0.0] * 3 for _ in self.zones]
+        self.since, self.upto = {}, {}  # when a proxy joined; up to when what was heard of it covers
         self.offered = 0.0  # RPCs that came to proxies in a period, repeats and all
 
     def grow(self, tasks: int) -> None:
@@ -131,10 +131,17 @@
             self.fresh[task][k] += self.a_period(figure, report.over)
             self.met[zone][k] += self.a_period(figure, report.over)
 
-    def a_period(self, figure: float, over: int) -> float:
-        """What was held back for long counts as one period's worth."""
+    def a_period(self, figure: float, over: int) -> float:  # what was held back counts as one period's
         return figure * self.boot.period / max(over, self.boot.period)
 
+    def cover(self, event: OfferedLoad) -> None:
+        key = event.proxy, event.method
+        self.upto[key] = self.upto.get(key, self.since.get(event.proxy, 0)) + event.over
+        self.offered += self.a_period(event.rpcs, event.over) / 2
+
+    def fresh_at(self, now: int) -> bool:
+        return now - max(self.upto.values(), default=now) < 3 * self.boot.period
+
     def age(self) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
             row[:] = [x * MEMORY for x in row]
@@ -206,11 +213,9 @@
 
 
 class Health:
-    """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step.
-
-    Goes by what a zone's proxies met (a cut shows from one side only), against the middle task of the best
-    zone as they see it: errors, hangs, silence and cuts are met alike; overload, seen at all, cuts nobody.
-    """
+    """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step. Goes by
+    what a zone's proxies met (a cut shows from one side only), against the middle task of the best zone as
+    they see it: errors, hangs, silence and cuts are met alike; overload, seen at all, cuts nobody."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.factor: list[list[float]] = [[] for _ in range(boot.zones)]
@@ -223,13 +228,12 @@
     def judge(self, est: Estimates, tasks: list[int], home: list[int]) -> None:
         for zone, ratio in enumerate(est.spread(est.bad, 0.0, tasks, home)):
             factor = self.factor[zone]
-            if sum(est.tries[zone]) < PRIOR:  # nobody there to ask: what others met is not for this table
-                ratio = [0.0] * len(ratio)
+            ratio = ratio if sum(est.tries[zone]) >= PRIOR else [0.0] * len(ratio)  # nobody there to ask
             zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
-                # Half of all tries: a slow task whose tries run out of time is the solver's business. Cut
-                # for less, one after the other hands its work to the rest until all are in a jam.
+                # Half of all tries: slow tasks are the solver's business. Cut for less, one after the other
+                # hands its work to the rest until all are in a jam.
                 if ratio[i] > base + 0.5:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
@@ -243,29 +247,30 @@
         self.boot = boot
         self.jam = self.calm = False
         self.ease, self.peak, self.boost = 0.0 if boot.outlier_after > 0 else 1.0, 0.0, 1.0
-        # Periods till an instance that starts over in a jam has heard tries run out of time.
+        # Periods till an instance that starts over has heard tries run out of time.
         self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up in steps of an eighth; up to half the stated multiple of that while hardly
-        any tries fail: most tasks warm up quicker than the slowest that is stated."""
+        """From the stated floor up in eighths; as much as half the stated multiple of that while hardly any
+        tries fail: most tasks warm up quicker than the slowest that is stated."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
         return min(0.99, max(1, int(8 * part * self.boost)) / 8)  # 1 is for warm ones alone
 
-    def judge(self, tried: float, bad: float, tasks: int, cold: float) -> None:
-        """In a jam RPCs come again and gather on whoever has room, a cold task above all: it is offered less
-        by as much as tries outnumber the best the fleet has done. Proxies that keep away from a task after
-        failures in a row leave nothing else to pick, whatever its weight: there cold tasks are listed only
-        if their parts could take all tries together."""
+    def judge(self, tried: float, bad: float, tasks: int, cold: float, fresh: bool) -> None:
+        """In a jam RPCs come again and gather on whoever has room: a cold task is offered less by as much as
+        tries outnumber the best the fleet did. Where proxies keep away after failures in a row they leave
+        nothing else to pick, whatever its weight: cold tasks are listed there only if their parts could take
+        all tries. News too old to show a jam counts as one."""
         self.jam = bad > JAM * (tried + PRIOR)
         self.calm = bad < JAM / 10 * tried
-        self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR))
+        well = max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR)) * fresh
+        self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * well
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
-        self.ease = min(1.0, self.peak * tasks / tried) if tried > 0 else 1.0
+        self.ease = min(1.0, (self.peak * tasks + PRIOR) / (tried + PRIOR))
         self.deaf -= 1
-        if self.boot.outlier_after > 0 and (self.jam or self.deaf > 0):
+        if self.boot.outlier_after > 0 and (self.jam or self.deaf > 0 or not fresh):
             self.ease *= tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
@@ -282,11 +287,8 @@
 
 
 class Solver:
-    """The feedback loop on heard latency: a weight goes towards size x the task's skill x the zone's reach.
-
-    Skill is learnt for all tables, against its own zone's tasks, reach for each pair of zones: so little
-    news moves many lines. A step moves a line by at most a tenth of the task's size.
-    """
+    """The feedback loop on heard latency: a weight goes towards size x the task's skill x the zone's reach, a
+    tenth of the size at most a step. Skill is learnt for all tables, reach for each pair of zones."""
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
         self.zones, self.est = range(boot.zones), est
@@ -317,8 +319,7 @@
             cost = {i: sum(row[i] for row in costs) for i in kin}
             average = sum(weight[i] * cost[i] for i in kin) / (sum(weight[i] for i in kin) or 1.0)
             for i in kin:
-                # A leash keeps a weight near the task's size: chased all the way, equal latency piles work
-                # on the quickest until a burst tips them into a jam.
+                # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
                 self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
         told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
@@ -342,9 +343,8 @@
                                     old.get(i, w) + self.stride * size[i]) for i, w in aim.items()}
 
     def weights(self, zone: int, tasks: list[int], home: list[int]) -> dict[int, float]:
-        """The zone's line weights; a task not stepped yet begins at its size."""
-        own = self.lines[zone]
-        return {i: own[i] if i in own else self.size[i] * self.reach[zone][home[i]] for i in tasks}
+        own, reach = self.lines[zone], self.reach[zone]  # a task not stepped yet begins at its size
+        return {i: own.get(i, self.size[i] * reach[home[i]]) for i in tasks}
 
 
 class Gate:
@@ -396,11 +396,9 @@
 
 
 class Outbox:
-    """What may leave: within the lines that may wait and the messages a proxy may get.
-
-    What waits is counted by proof, not by an assumed pace: messages leave in order, so a receipt from any
-    proxy shows that all sent before has left. A stalled proxy's late receipt proves less, never more.
-    """
+    """What may leave, within the lines that may wait and the messages a proxy may get. What waits goes by
+    proof, not by an assumed pace: messages leave in order, so a receipt from any proxy shows that all sent
+    before has left. A stalled proxy's late receipt proves less, never more."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
@@ -522,20 +520,21 @@
         for event in events:
             if isinstance(event, TrafficReport):
                 self.est.hear(event)
-            elif isinstance(event, OfferedLoad):
-                self.est.offered += self.est.a_period(event.rpcs, event.over) / 2
+            elif isinstance(event, OfferedLoad) and event.over > 0:
+                self.est.cover(event)
             elif isinstance(event, RosterChange):
                 self.listen(now, event)
             elif isinstance(event, Receipt):
                 self.outbox.receipt(event)
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
                 self.tables.join(event, self.levels.lean)
+                self.est.since[event.proxy] = now
+                self.est.upto = {key: at for key, at in self.est.upto.items() if key[0] != event.proxy}
             elif isinstance(event, Left):
                 self.tables.leave(event.proxy)
         if self.boot.partitions:  # key slices are not decided yet
             return []
-        # A period is worked as its reports come, not at a clock tick long after; the timer stands in
-        # for reports that stay away.
+        # A period is worked as its reports come; the timer stands in for reports that stay away.
         period = now >= self.next_period - self.boot.period * (TrafficReport in kinds)
         push = period and self.improve(now)
         orders = self.roster.calls(now)
@@ -568,7 +567,7 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able(part)
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
-        self.ramp.judge(*est.failing(tasks), len(tasks), cold)
+        self.ramp.judge(*est.failing(tasks), len(tasks), cold, est.fresh_at(now))
         for zone in est.zones:
             lines = tables.lines[zone]
             self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
@@ -620,12 +619,12 @@
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
             levels = {k: level for k, level in self.levels.wanted(table, self.ramp.calm).items()
                       if sent.get(k, (1.0, self.boot.retry_default)) != level}
-            # Removals first; of what can wait, as much as there is room for, the largest moves first.
+            # Removals first; of what can wait, as much as there is room for, the largest moves first; and
+            # removals that take a table's last lines out bring others along.
             room = box.spare(now, proxies, 0.95)
             spare = 0 if box.held() else box.spare(now, proxies, 0.6) - len(gone)
             levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (-abs(lines[i] - before.get(i, 0.0)), i))
-            # Removals that take a table's last lines out bring others along.
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
             moved = moved[:max(spare, 0)]
             if len(gone) + len(moved) + len(levels) > room:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -196,6 +196,27 @@
     assert rig.bound[9] == 0
 
 
+def test_a_cold_task_gets_no_more_than_stated_while_news_is_old():
+    rig = Rig()
+
+    def news():
+        return [rig.met(z, i) for z in (0, 1) for i in range(8)] + [api.OfferedLoad(9, SECOND, 1, 0, 0)]
+    for _ in range(6):
+        rig.period(*news())
+    assert rig.assigner.ramp.boost == rig.boot.fall_multiple / 2
+    rig.now += 4 * SECOND  # sums stay away for a while, then come as often as ever, but old
+    for _ in range(6):
+        rig.period(*news())
+        assert rig.assigner.ramp.boost == 1.0
+
+
+def test_a_table_whose_proxies_are_all_cut_off_is_left_as_it_was():
+    rig = Rig()
+    for _ in range(8):
+        rig.period(*[rig.met(0, i, bad=10 * (i % 2)) for i in range(8)])
+    assert rig.assigner.health.factor[1] == [1.0] * 8 and rig.share(1, 1) > rig.share(1, 0)
+
+
 @pytest.mark.parametrize("repeat", list(api.Repeat))
 @pytest.mark.parametrize("group", list(api.Group))
 def test_no_way_to_try_again_repeats_an_effect(repeat, group):
