--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -140,7 +140,7 @@
         self.offered += self.a_period(event.rpcs, event.over) / 2
 
     def fresh_at(self, now: int) -> bool:
-        return now - max(self.upto.values(), default=now) < 3 * self.boot.period
+        return now - max(self.upto.values(), default=0) < 3 * self.boot.period
 
     def age(self) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
@@ -251,27 +251,27 @@
         self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up in eighths; as much as half the stated multiple of that while hardly any
+        """From the stated floor up in eighths; up to half the stated multiple of that while hardly any
         tries fail: most tasks warm up quicker than the slowest that is stated."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
         return min(0.99, max(1, int(8 * part * self.boost)) / 8)  # 1 is for warm ones alone
 
-    def judge(self, tried: float, bad: float, tasks: int, cold: float, fresh: bool) -> None:
+    def judge(self, tried: float, bad: float, tasks: int, cold: float, level: float, fresh: bool) -> None:
         """In a jam RPCs come again and gather on whoever has room: a cold task is offered less by as much as
         tries outnumber the best the fleet did. Where proxies keep away after failures in a row they leave
         nothing else to pick, whatever its weight: cold tasks are listed there only if their parts could take
         all tries. News too old to show a jam counts as one."""
         self.jam = bad > JAM * (tried + PRIOR)
         self.calm = bad < JAM / 10 * tried
-        well = max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR)) * fresh
+        well = max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR)) * max(0.0, 2 * level - 1) * fresh
         self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * well
         self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
         self.ease = min(1.0, (self.peak * tasks + PRIOR) / (tried + PRIOR))
-        self.deaf -= 1
+        self.deaf -= tried > 0
         if self.boot.outlier_after > 0 and (self.jam or self.deaf > 0 or not fresh):
-            self.ease *= tried < cold
+            self.ease *= 0 < tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
         """A cold task gets at most its part of what a warm one carries on average; less where so many are
@@ -567,7 +567,7 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able(part)
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
-        self.ramp.judge(*est.failing(tasks), len(tasks), cold, est.fresh_at(now))
+        self.ramp.judge(*est.failing(tasks), len(tasks), cold, min(self.levels.open), est.fresh_at(now))
         for zone in est.zones:
             lines = tables.lines[zone]
             self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
