--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -460,7 +460,7 @@
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
         self.rate: dict[int, float] = {}
-        self.strain, self.parted, self.part = 0, False, LEAST_PART
+        self.strain, self.well, self.patience, self.parted = 0, 0, 1, False
 
     def join(self, event: Joined, lean: int) -> None:
         self.leave(event.proxy)
@@ -477,15 +477,14 @@
 
     def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
         """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks: the
-        rest come free of RPCs that run out of time. The few grow while the rest do well (what they tried
-        and how much of it was bad), and all are together again when the jam is over."""
-        if bad > JAM * tried:
-            self.part = max(LEAST_PART, self.part / 2)
-        elif bad < JAM / 5 * tried:
-            self.part = min(0.5, self.part * 1.2)
+        rest come free of RPCs that run out of time. All are together again when the rest have done well for
+        some periods (what they tried and how much of it was bad), for longer each time it was too early."""
         self.strain = max(0, min(4, self.strain + (1 if jam else -1)))
-        if lean and self.parted != (self.strain >= (1 if self.parted else 2)):
-            self.parted, self.part = not self.parted, LEAST_PART
+        self.well = self.well + 1 if self.parted and bad < JAM / 5 * tried else 0
+        if lean and (self.parted and (not self.strain or self.well >= self.patience)
+                     or not self.parted and self.strain >= 2):
+            self.patience *= 2 if self.well else 1
+            self.parted, self.strain, self.well = not self.parted, 0, 0
             self.joining = [due for due in self.joining if due[2] == 0]
             self.joining += [(p, self.excess if self.parted else z, lean) for p, z in self.zone.items()]
 
@@ -596,7 +595,7 @@
             # The slowest of the warm tasks are left to the methods that give way.
             able = [(self.solver.size[i] * self.solver.skill[i], i) for i in tasks if part[i] >= 1.0]
             able = sorted(able or [(0.0, i) for i in tasks])
-            sinks = [i for _, i in able[:max(1, round(len(able) * tables.part))]]
+            sinks = [i for _, i in able[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
