--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -564,7 +564,7 @@
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
-        able = est.able(part)
+        able = est.able({i: p * max(row[i] for row in self.health.factor) for i, p in part.items()})
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
         self.ramp.judge(*est.failing(tasks), len(tasks), cold, min(self.levels.open), est.fresh_at(now))
         for zone in est.zones:
