--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -100,10 +100,9 @@
         self.util: list[float] = []
         self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
         # Tries, bad ones and good latency of one period, by task and by zone of proxies.
-        self.fresh: list[list[float]] = []
-        self.met = [[0.0] * 3 for _ in self.zones]
+        self.fresh, self.met = [], [[0.0] * 3 for _ in self.zones]
         self.since, self.upto = {}, {}  # when a proxy joined; up to when what was heard of it covers
-        self.offered = 0.0  # RPCs that came to proxies in a period, repeats and all
+        self.offered = [0.0] * len(boot.methods)  # RPCs that came to proxies in a period, repeats and all
 
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.fresh)
@@ -125,8 +124,7 @@
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
         told = dict(zip(self.boot.load_names, report.load))
-        self.util[task] = min(told.get("util", -1.0), 1.5)
-        self.queue[task] = max(0.0, min(told.get("queue", 0.0), 1e6))
+        self.util[task], self.queue[task] = min(told.get("util", -1.0), 1.5), max(0.0, told.get("queue", 0.0))
         for k, figure in enumerate((bad + good, bad, good * report.latency)):
             self.fresh[task][k] += self.a_period(figure, report.over)
             self.met[zone][k] += self.a_period(figure, report.over)
@@ -137,7 +135,7 @@
     def cover(self, event: OfferedLoad) -> None:
         key = event.proxy, event.method
         self.upto[key] = self.upto.get(key, self.since.get(event.proxy, 0)) + event.over
-        self.offered += self.a_period(event.rpcs, event.over) / 2
+        self.offered[event.method] += self.a_period(event.rpcs, event.over) / 2
 
     def fresh_at(self, now: int) -> bool:
         return now - max(self.upto.values(), default=0) < 3 * self.boot.period
@@ -147,12 +145,12 @@
             row[:] = [x * MEMORY for x in row]
         for row in self.fresh + self.met:
             row[:] = [0.0] * 3
-        self.offered /= 2
+        self.offered = [x / 2 for x in self.offered]
 
     def able(self, part: dict[int, float]) -> float:
         """What part of the RPCs that come the tasks can answer without being too busy; 1 if not known."""
         does = sum(self.does[i] * p for i, p in part.items())
-        return min(1.0, BUSY * does / self.offered) if does > 0 and self.offered > 0 else 1.0
+        return min(1.0, BUSY * does / max(sum(self.offered), 1e-9)) if does > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
         """Tries of this period and how many of them were bad."""
@@ -335,8 +333,7 @@
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
                     # Wide at once where a zone is in trouble, home again only slowly.
                     reach[there] += (pull if pull > 0 else pull / 3) * self.stride
-            most = max(reach)
-            reach[:] = [max(r / most, least) for r in reach]
+            reach[:] = [max(r / max(reach), least) for r in reach]
             old = self.lines[z]
             aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
             self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
@@ -366,9 +363,10 @@
     def __init__(self, boot: Bootstrap) -> None:
         self.off = boot.admission == Admission.OFF
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
-        # A cut shows when it has travelled, the tries let in before it have run out, and sums have come.
+        # Till a cut has travelled, tries let in before it have run out, and sums have come.
         self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)
-        # The table of methods: a row each, with its way to try again and whether it gives way in a jam.
+        # The table of methods: a row each, with its way to try again and whether it gives way to others.
+        self.even = min(1.0, 3 * boot.worst_method_goal)
         most = max(m.criticality for m in boot.methods)
         self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
         self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way and self.off)
@@ -384,9 +382,15 @@
             level = min(level + 0.15 * (stress < 1.0), able) if level < able or busy else level + 0.03
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
-    def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
-        """Further tries feed a jam, however safe they are, and pile up on whoever has room: cold tasks."""
-        return {k: (round(self.open[zone] * 20) / 20, way if calm else 0) for k, way, _ in self.rows}
+    def wanted(self, zone: int, calm: bool, offered: list[float]) -> dict[int, tuple[float, int]]:
+        """As far as much must go, lower criticality gives way first, less so where the goals ask for the
+        worst method. Further tries, however safe, feed a jam and pile up on whoever has room."""
+        level = self.open[zone]
+        lean = sum(offered[k] for k, _, low in self.rows if low) / (sum(offered) or 1.0)
+        top, even = min(1.0, level / max(1 - lean, 1e-9)), max(self.even, level)
+        first = {False: top, True: (level - (1 - lean) * top) / max(lean, 1e-9)}
+        part = {low: max(1, round(20 * (even * level + (1 - even) * x))) / 20 for low, x in first.items()}
+        return {k: (part[low], way if calm else 0) for k, way, low in self.rows}
 
 
 def retry_way(method: MethodTerms) -> int:
@@ -442,8 +446,7 @@
         if self.sent <= already:
             return []
         self.mark = (self.mark + 1) % 65536
-        self.marks[self.mark] = already
-        self.marks.pop((self.mark - 1000) % 65536, None)
+        self.marks[self.mark] = already  # as many as the numbers allow are kept
         return [AskReceipt(self.mark, False)]
 
 
@@ -455,7 +458,7 @@
         every = range(boot.zones + 1)
         self.lines: list[dict[int, float]] = [{} for _ in every]
         self.caps: list[dict[int, float]] = [{} for _ in every]  # the cap each line went out with
-        self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in every]
+        self.levels = [{k: (1.0, boot.retry_default) for k in range(len(boot.methods))} for _ in every]
         self.bound: list[list[int]] = [[] for _ in every]
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
@@ -490,14 +493,13 @@
 
     def attach(self, now: int, box: Outbox) -> list[Order]:
         orders: list[Order] = []
-        for due in self.joining[:]:
-            proxy, table, _ = due
+        for proxy, table, methods in self.joining[:]:
             size = len(self.lines[table]) + 1 + len(self.levels[table])
             if self.lines[table] and box.spare(now, [proxy], 0.9) >= size:
-                orders.append(Attach(*due))
-                self.joining.remove(due)
+                orders.append(Attach(proxy, table, methods))
+                self.joining.remove((proxy, table, methods))
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
-                if due[2] and table != self.excess:
+                if methods and table != self.excess:
                     self.bound[self.excess] = [p for p in self.bound[self.excess] if p != proxy]
                 box.book(now, [proxy], size)
         return orders
@@ -594,8 +596,7 @@
         if tables.parted or tables.bound[tables.excess]:
             # The slowest of the warm tasks are left to the methods that give way.
             able = [(self.solver.size[i] * self.solver.skill[i], i) for i in tasks if part[i] >= 1.0]
-            able = sorted(able or [(0.0, i) for i in tasks])
-            sinks = [i for _, i in able[:max(1, round(len(able) * LEAST_PART))]]
+            sinks = [i for _, i in sorted(able)[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
@@ -616,8 +617,8 @@
             # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
-            levels = {k: level for k, level in self.levels.wanted(table, self.ramp.calm).items()
-                      if sent.get(k, (1.0, self.boot.retry_default)) != level}
+            wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered)
+            levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
             # removals that take a table's last lines out bring others along.
             room = box.spare(now, proxies, 0.95)
