--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -179,7 +179,7 @@
         """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse. None
         while its table's tasks have idle cores: that is for weights and health to mend, not levels."""
         tries, bad, slow = self.met[zone]
-        if tries < PRIOR or self.idle(lines):
+        if tries < PRIOR or not lines or self.idle(lines):
             return 0.0
         wait = sum(w * self.queue[i] / self.does[i] for i, w in lines.items() if self.does[i] > 0)
         wait *= self.boot.period / sum(lines.values())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -323,3 +323,28 @@
         return out
     assert day(5) == day(5) != day(6)
     assert Assigner(bootstrap(partitions=16), 1).decide(START, [api.Joined(1.0, True, 1, 0)]) == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_any_order_of_events_is_decided_and_tables_stay_sound(seed):
+    chance = Random(seed)
+    rig = Rig(tasks=chance.choice((0, 1, 6)), subscribe=seed % 2 == 0, messages_most=seed % 3 * 15,
+              admission=list(api.Admission)[seed % 3], outlier_after=seed % 2 * 3,
+              pick=list(api.Pick)[seed % 3])
+
+    def event():
+        task, zone, proxy = chance.randrange(10), chance.randrange(2), chance.randrange(6)
+        many, over = chance.randrange(40), chance.choice((0, SECOND, 5 * SECOND))
+        return chance.choice((
+            roster([entry(task, zone, chance.randrange(3), rig.now * chance.randrange(2))],
+                   api.ListKind.DELTA),
+            roster([entry(i) for i in range(chance.randrange(10))], chance.randrange(4)),
+            api.TrafficReport(zone, task, many, chance.randrange(40), chance.choice((-1, 0, SECOND)), over,
+                              chance.choice(((), (1.0, 9.0), (0.0, -1.0)))),
+            api.Joined(chance.choice((0.0, 5.0)), True, proxy, zone), api.Left(proxy), api.Woke(1),
+            api.OfferedLoad(many, over, proxy, zone, 0), api.Receipt(proxy, many, over)))
+    for _ in range(250):
+        rig.feed(*[event() for _ in range(chance.randrange(6))], after=chance.choice((0, 0.01, 0.5, 3)))
+        ready = set(rig.assigner.roster.open())
+        assert all(w > 0 for table in rig.tables.values() for w in table.values())
+        assert rig.assigner.owed or all(set(table) <= ready for table in rig.tables.values())
