--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -230,9 +230,9 @@
             zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
-                # Half of all tries: slow tasks are the solver's business. Cut for less, one after the other
+                # Over half its tries: slow tasks are the solver's business. Cut for less, one after the other
                 # hands its work to the rest until all are in a jam.
-                if ratio[i] > base + 0.5:
+                if ratio[i] > base + 0.58:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
                     factor[i] = min(1.0, factor[i] * (2.0 if est.tries[zone][i] >= 1.0 else 1.25))
