Read once more: one idle check, no endless record of messages, wake tokens dropped

The idle cores of a table were summed twice a period; where messages are not limited the times of every message were kept for ever and never read; wake tokens were counted and never read; a zone's tries were summed once for every pair of zones.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -176,10 +176,10 @@
         return [x * scale for x in found]
 
     def stress(self, zone: int, lines: dict[int, float]) -> float:
-        """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse. None
-        while its table's tasks have idle cores: that is for weights and health to mend, not levels."""
+        """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse.
+        Not to be asked while its table's tasks have idle cores: weights and health must mend that."""
         tries, bad, slow = self.met[zone]
-        if tries < PRIOR or not lines or self.idle(lines):
+        if tries < PRIOR or not lines:
             return 0.0
         wait = sum(w * self.queue[i] / self.does[i] for i, w in lines.items() if self.does[i] > 0)
         wait *= self.boot.period / sum(lines.values())
@@ -191,8 +191,7 @@
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
         """A figure per try for each (zone of proxies, task), from little news: with few tries, by what all
         zones met at the task and by what this zone met in the task's zone; with none, average."""
-        tries = self.tries
-        n = {i: sum(row[i] for row in tries) for i in tasks}
+        n = {i: sum(row[i] for row in self.tries) for i in tasks}
         sums = {i: sum(row[i] for row in rows) for i in tasks}
         mean = (sum(sums.values()) + PRIOR * start) / (sum(n.values()) + PRIOR)
         pooled = {i: (sums[i] + PRIOR * mean) / (n[i] + PRIOR) for i in tasks}
@@ -201,11 +200,11 @@
             met, expected = ([PRIOR * mean] * self.boot.zones for _ in range(2))
             for i in tasks:
                 met[home[i]] += rows[z][i]
-                expected[home[i]] += tries[z][i] * pooled[i]
-            row = [mean] * len(tries[z])
+                expected[home[i]] += self.tries[z][i] * pooled[i]
+            row = [mean] * len(self.tries[z])
             for i in tasks:
                 ratio = met[home[i]] / expected[home[i]] if expected[home[i]] > 0 else 1.0
-                row[i] = (rows[z][i] + PRIOR * pooled[i] * ratio) / (tries[z][i] + PRIOR)
+                row[i] = (rows[z][i] + PRIOR * pooled[i] * ratio) / (self.tries[z][i] + PRIOR)
             out.append(row)
         return out
 
@@ -323,13 +322,14 @@
         told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
         least = LEAST_REACH * max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
         for z, reach in enumerate(self.reach):
+            told_of = sum(self.est.tries[z]) >= PRIOR
             mass, bill = ([0.0] * len(self.zones) for _ in range(2))
             for i in tasks:
                 mass[home[i]] += weight[i]
                 bill[home[i]] += weight[i] * costs[z][i]
             average = sum(b * r for b, r in zip(bill, reach)) / sum(m * r for m, r in zip(mass, reach))
             for there in self.zones:
-                if mass[there] > 0 and sum(self.est.tries[z]) >= PRIOR:
+                if mass[there] > 0 and told_of:
                     pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
                     # Wide at once where a zone is in trouble, home again only slowly.
                     reach[there] += (pull if pull > 0 else pull / 3) * self.stride
@@ -438,7 +438,7 @@
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
         self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
-        for proxy in proxies if lines else ():
+        for proxy in proxies if lines and self.boot.messages_most > 0 else ():
             self.written.setdefault(proxy, deque()).append(now)
 
     def stamp(self, already: float) -> list[Order]:
@@ -492,7 +492,7 @@
             self.joining += [(p, self.excess if self.parted else z, lean) for p, z in self.zone.items()]
 
     def attach(self, now: int, box: Outbox) -> list[Order]:
-        orders: list[Order] = []
+        orders = []
         for proxy, table, methods in self.joining[:]:
             size = len(self.lines[table]) + 1 + len(self.levels[table])
             if self.lines[table] and box.spare(now, [proxy], 0.9) >= size:
@@ -513,7 +513,7 @@
         self.roster, self.est, self.health = Roster(boot, Random(seed)), Estimates(boot), Health(boot)
         self.ramp, self.solver, self.gate = Ramp(boot), Solver(boot, self.est), Gate()
         self.levels, self.tables, self.outbox = Levels(boot), Tables(boot), Outbox(boot)
-        self.next_period, self.owed, self.token = -1, False, 0
+        self.next_period, self.owed = -1, False
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         self.outbox.drain(now)
@@ -544,8 +544,7 @@
         if period or self.owed or kinds & {Woke, RosterChange}:
             hurry = now + self.boot.period // 8 if self.tables.joining or self.owed else self.next_period
             soon = min(self.next_period, self.roster.ask_at or self.next_period, hurry)
-            self.token += 1
-            orders.append(WakeAt(self.token, max(soon - now, 1000)))
+            orders.append(WakeAt(0, max(soon - now, 1000)))
         return orders
 
     def listen(self, now: int, change: RosterChange) -> None:
@@ -571,7 +570,8 @@
         self.ramp.judge(*est.failing(tasks), len(tasks), cold, min(self.levels.open), est.fresh_at(now))
         for zone in est.zones:
             lines = tables.lines[zone]
-            self.levels.move(now, zone, est.stress(zone, lines), able, not est.idle(lines))
+            busy = not est.idle(lines)
+            self.levels.move(now, zone, est.stress(zone, lines) if busy else 0.0, able, busy)
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         warm = [i for i in tasks if part[i] >= 1.0]
         tables.part_methods(self.ramp.jam and 4 * len(warm) > len(tasks), self.levels.lean, *rest)
