Reach steps by the cost of whole zones and is narrow where a zone has tasks enough

Now reach compares the mean cost of a zone's own tasks with the others', steps both ways alike, and borrows only what a zone lacks to twice a standing table. Should hold for any pair of zones of unlike load; hurts where a zone's few tasks fail unseen.

--- a/hollyridge/benchlink/conf.py
+++ b/hollyridge/benchlink/conf.py
@@ -98,6 +98,7 @@
         fall_multiple=text.number("rules.fall_multiple"),
         pick=text.choice(family + "pick", PICK, "random"),
         outlier_after=int(text.number(family + "outlier_after", 0)),
+        initial_set=int(text.number(family + "initial_set", 0)),
         admission=text.choice(family + "admit", ADMIT, "off"),
         retry_default=int(text.number(family + "retry_default", 0)),
         per_try=text.number(family + "per_try", 1.0),
--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -85,6 +85,7 @@
     fall_multiple: float
     pick: Pick
     outlier_after: int
+    initial_set: int
     admission: Admission
     retry_default: int
     per_try: float
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -24,8 +24,9 @@
 NOISE_FLOOR = 0.05  # a smaller gain counts as none
 STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
 LEASH = 1.0  # how strongly a weight is drawn back to the task's size
-START_REACH = 0.6  # part of a line's weight in the tables of other zones, at the start
-LEAST_REACH = 0.3  # and at the least
+LEAST_REACH = 0.3  # part of a line's weight in the tables of other zones where a zone lacks tasks
+FEEL = 0.02  # and where it does not, so that news of the way there keeps coming
+TOLL = 4.0  # soft deadlines of latency that one point of the price for crossing zones is worth
 TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
 BUSY = 0.85  # utilisation from which levels act, and which they aim at
 MEMORY = 0.75  # part of what was heard that still counts a period later
@@ -288,14 +289,14 @@
     tenth of the size at most a step. Skill is learnt for all tables, reach for each pair of zones."""
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
-        self.zones, self.est = range(boot.zones), est
+        self.zones, self.est, self.standing = range(boot.zones), est, boot.initial_set
         self.stride = STEP / boot.assigners
         # Crossing zones as latency: its price is a part of what an RPC past its soft deadline loses.
-        self.toll = 2 * boot.cross_zone_price * est.soft
+        self.toll = TOLL * boot.cross_zone_price * est.soft
         self.skill: list[float] = []
         self.size: list[float] = []
         self.lines: list[dict[int, float]] = [{} for _ in self.zones]
-        self.reach = [[1.0 if a == b else START_REACH for b in self.zones] for a in self.zones]
+        self.reach = [[float(a == b) for b in self.zones] for a in self.zones]
 
     def restart(self, task: int, hint: list[float]) -> None:
         self.skill.extend([1.0] * (len(hint) - len(self.skill)))
@@ -309,39 +310,44 @@
         load = self.est.load
         return {i: heard[i] / (1 - load[i]) + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
-    def step(self, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
+    def least(self, zone: int, tasks: list[int], home: list[int]) -> float:
+        """What a zone lacks to twice a standing table it borrows from the others at all times: a handful of
+        tasks can't even out bursts. Less where cores are idle, and never nothing, to keep feeling the way."""
+        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
+        idle = max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
+        kin = sum(home[i] == zone for i in tasks)
+        return max(FEEL, idle * min(LEAST_REACH, (2 * self.standing - kin) / max(1, len(tasks) - kin)))
+
+    def step(self, heard: list, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
         self.size, weight = size, {i: size[i] * self.skill[i] for i in tasks}
-        for there in self.zones:
-            kin = [i for i in tasks if home[i] == there]
+        zones = [[i for i in tasks if home[i] == there] for there in self.zones]
+        mass = [sum(weight[i] for i in kin) for kin in zones]
+        load = [sum(weight[i] * self.est.load[i] for i in kin) / (m or 1.0) for kin, m in zip(zones, mass)]
+        for kin, m in zip(zones, mass):
             cost = {i: sum(row[i] for row in costs) for i in kin}
-            average = sum(weight[i] * cost[i] for i in kin) / (sum(weight[i] for i in kin) or 1.0)
+            average = sum(weight[i] * cost[i] for i in kin) / (m or 1.0)
             for i in kin:
                 # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
                 self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
-        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
-        least = LEAST_REACH * max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
         for z, reach in enumerate(self.reach):
-            told_of = sum(self.est.tries[z]) >= PRIOR
-            mass, bill = ([0.0] * len(self.zones) for _ in range(2))
-            for i in tasks:
-                mass[home[i]] += weight[i]
-                bill[home[i]] += weight[i] * costs[z][i]
-            average = sum(b * r for b, r in zip(bill, reach)) / sum(m * r for m, r in zip(mass, reach))
+            # By whole zones, whose means are calm: one hot task is its skill's business, not the reach's.
+            cost = [sum(weight[i] * heard[z][i] for i in kin) / (m or 1.0) / (1 - busy)
+                    + self.toll * (there != z) for there, (kin, m, busy) in enumerate(zip(zones, mass, load))]
+            told_of, least = sum(self.est.tries[z]) >= PRIOR, self.least(z, tasks, home)
             for there in self.zones:
-                if mass[there] > 0 and told_of:
-                    pull = max(-1.0, min(1.0, 2 * (average - bill[there] / mass[there]) / average))
-                    # Wide at once where a zone is in trouble, home again only slowly.
-                    reach[there] += (pull if pull > 0 else pull / 3) * self.stride
-            reach[:] = [max(r / max(reach), least) for r in reach]
+                if there != z and mass[there] > 0:
+                    pull = (cost[z] - cost[there]) / max(cost[z], cost[there]) if mass[z] > 0 else 1.0
+                    reach[there] = max(least, min(1.0, reach[there] + pull * self.stride * told_of))
             old = self.lines[z]
             aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
             self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
                                     old.get(i, w) + self.stride * size[i]) for i, w in aim.items()}
 
     def weights(self, zone: int, tasks: list[int], home: list[int]) -> dict[int, float]:
-        own, reach = self.lines[zone], self.reach[zone]  # a task not stepped yet begins at its size
-        return {i: own.get(i, self.size[i] * reach[home[i]]) for i in tasks}
+        own, reach, least = self.lines[zone], self.reach[zone], self.least(zone, tasks, home)
+        # A task not stepped yet begins at its size.
+        return {i: own.get(i, self.size[i] * max(reach[home[i]], least)) for i in tasks}
 
 
 class Gate:
@@ -578,7 +584,7 @@
         size = est.sizes(self.roster.hint, tasks, warm)
         est.age()
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
-        self.solver.step(costs, size, tasks, home)
+        self.solver.step(heard, costs, size, tasks, home)
         published = current = 0.0
         for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
