Rates count as last heard of each zone, task and proxy, since news comes in parts

Also holds for reports held back by a stalled channel; hurts for one span after traffic leaves a task for good.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -100,22 +100,25 @@
         # the busy periods they took, while warm; what that makes in one busy period.
         self.util: list[float] = []
         self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
-        # Tries, bad ones and good latency of one period, by task and by zone of proxies.
-        self.fresh, self.met = [], [[0.0] * 3 for _ in self.zones]
+        # By zone of proxies and task: tries, bad ones and good latency a period as last heard, and till when
+        # that holds. A period brings news of some tasks only, so what was heard last counts till then.
+        self.met, self.till = ([[] for _ in self.zones] for _ in range(2))
         self.since, self.upto = {}, {}  # when a proxy joined; up to when what was heard of it covers
-        self.offered = [0.0] * len(boot.methods)  # RPCs that came to proxies in a period, repeats and all
+        self.came: dict[tuple[int, int], float] = {}  # RPCs a period by proxy and method, repeats and all
 
     def grow(self, tasks: int) -> None:
-        more = tasks - len(self.fresh)
-        self.fresh.extend([0.0] * 3 for _ in range(more))
+        more = tasks - len(self.util)
         self.util.extend([-1.0] * more)
+        for met, till in zip(self.met, self.till):
+            met.extend([(0.0, 0.0, 0.0)] * more)
+            till.extend([0] * more)
         for row in self.rows():
             row.extend([0.0] * more)
 
     def rows(self) -> list[list[float]]:
         return [self.queue, self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
 
-    def hear(self, report: TrafficReport) -> None:
+    def hear(self, now: int, report: TrafficReport) -> None:
         zone, task = report.zone, report.task
         if zone >= self.boot.zones or task >= len(self.util) or report.over <= 0 or report.tries <= 0:
             return
@@ -126,36 +129,44 @@
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
         told = dict(zip(self.boot.load_names, report.load))
         self.util[task], self.queue[task] = min(told.get("util", -1.0), 1.5), max(0.0, told.get("queue", 0.0))
-        for k, figure in enumerate((bad + good, bad, good * report.latency)):
-            self.fresh[task][k] += self.a_period(figure, report.over)
-            self.met[zone][k] += self.a_period(figure, report.over)
-
-    def a_period(self, figure: float, over: int) -> float:  # what was held back counts as one period's
-        return figure * self.boot.period / max(over, self.boot.period)
+        span = max(report.over, self.boot.period)
+        self.met[zone][task] = tuple(x * self.boot.period / span for x in (bad + good, bad, good * report.latency))
+        self.till[zone][task] = now + 2 * span
 
     def cover(self, event: OfferedLoad) -> None:
         key = event.proxy, event.method
         self.upto[key] = self.upto.get(key, self.since.get(event.proxy, 0)) + event.over
-        self.offered[event.method] += self.a_period(event.rpcs, event.over) / 2
+        self.came[key] = event.rpcs * self.boot.period / max(event.over, self.boot.period)
+
+    def forget(self, proxy: int) -> None:
+        for row in (self.upto, self.came):
+            for key in [key for key in row if key[0] == proxy]:
+                del row[key]
+
+    def offered(self) -> list[float]:
+        """RPCs that come in a period, by method."""
+        total = [0.0] * len(self.boot.methods)
+        for (_, method), rpcs in self.came.items():
+            total[method] += rpcs
+        return total
 
     def fresh_at(self, now: int) -> bool:
         return now - max(self.upto.values(), default=0) < 3 * self.boot.period
 
-    def age(self) -> None:
+    def age(self, now: int) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
             row[:] = [x * MEMORY for x in row]
-        for row in self.fresh + self.met:
-            row[:] = [0.0] * 3
-        self.offered = [x / 2 for x in self.offered]
+        for met, till in zip(self.met, self.till):
+            met[:] = [x if now <= at else (0.0, 0.0, 0.0) for x, at in zip(met, till)]
 
     def able(self, part: dict[int, float]) -> float:
         """What part of the RPCs that come the tasks can answer without being too busy; 1 if not known."""
         does = sum(self.does[i] * p for i, p in part.items())
-        return min(1.0, BUSY * does / max(sum(self.offered), 1e-9)) if does > 0 else 1.0
+        return min(1.0, BUSY * does / max(sum(self.offered()), 1e-9)) if does > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
-        """Tries of this period and how many of them were bad."""
-        return tuple(sum(self.fresh[i][k] for i in tasks) for k in (0, 1))
+        """Tries a period and how many of them are bad."""
+        return tuple(sum(met[i][k] for met in self.met for i in tasks) for k in (0, 1))
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
@@ -163,8 +174,9 @@
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
-                if i in warm and self.fresh[i][1] < JAM * self.fresh[i][0]:  # a jam shows nothing of speed
-                    self.served[i] = self.served[i] * SPEED_MEMORY + self.fresh[i][0] - self.fresh[i][1]
+                tries, bad = self.failing([i])
+                if i in warm and bad < JAM * tries:  # a jam shows nothing of speed
+                    self.served[i] = self.served[i] * SPEED_MEMORY + tries - bad
                     self.busy[i] = self.busy[i] * SPEED_MEMORY + self.util[i]
             self.util[i] = -1.0
         served, busy = (sum(row[i] for i in tasks) for row in (self.served, self.busy))
@@ -179,7 +191,7 @@
     def stress(self, zone: int, lines: dict[int, float]) -> float:
         """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse.
         Not to be asked while its table's tasks have idle cores: weights and health must mend that."""
-        tries, bad, slow = self.met[zone]
+        tries, bad, slow = (sum(x) for x in zip(*self.met[zone]))
         if tries < PRIOR or not lines:
             return 0.0
         wait = sum(w * self.queue[i] / self.does[i] for i, w in lines.items() if self.does[i] > 0)
@@ -526,7 +538,7 @@
         kinds = {type(event) for event in events}
         for event in events:
             if isinstance(event, TrafficReport):
-                self.est.hear(event)
+                self.est.hear(now, event)
             elif isinstance(event, OfferedLoad) and event.over > 0:
                 self.est.cover(event)
             elif isinstance(event, RosterChange):
@@ -536,9 +548,10 @@
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
                 self.tables.join(event, self.levels.lean)
                 self.est.since[event.proxy] = now
-                self.est.upto = {key: at for key, at in self.est.upto.items() if key[0] != event.proxy}
+                self.est.forget(event.proxy)
             elif isinstance(event, Left):
                 self.tables.leave(event.proxy)
+                self.est.forget(event.proxy)
         if self.boot.partitions:  # key slices are not decided yet
             return []
         # A period is worked as its reports come; the timer stands in for reports that stay away.
@@ -582,7 +595,7 @@
         warm = [i for i in tasks if part[i] >= 1.0]
         tables.part_methods(self.ramp.jam and 4 * len(warm) > len(tasks), self.levels.lean, *rest)
         size = est.sizes(self.roster.hint, tasks, warm)
-        est.age()
+        est.age(now)
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
         self.solver.step(heard, costs, size, tasks, home)
         published = current = 0.0
@@ -623,7 +636,7 @@
             # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
-            wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered)
+            wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered())
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
             # removals that take a table's last lines out bring others along.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -303,12 +303,12 @@
     est.grow(2)
     for _ in range(10):
         for task, tries in ((0, 30), (1, 10)):
-            est.hear(api.TrafficReport(0, task, tries, 0, 1000, SECOND, (0.5, 0.0)))
+            est.hear(START, api.TrafficReport(0, task, tries, 0, 1000, SECOND, (0.5, 0.0)))
         size = est.sizes([1.0, 1.0], [0, 1], [0, 1])
-        est.age()
+        est.age(START)
     assert size[0] > 2 * size[1]
     known = est.busy[0]
-    est.hear(api.TrafficReport(0, 0, 30, 0, 1000, SECOND, (0.5, 0.0)))
+    est.hear(START, api.TrafficReport(0, 0, 30, 0, 1000, SECOND, (0.5, 0.0)))
     est.sizes([1.0, 1.0], [0, 1], [1])
     assert est.busy[0] == known and est.util == [-1.0, -1.0]
 
@@ -348,3 +348,17 @@
         ready = set(rig.assigner.roster.open())
         assert all(w > 0 for table in rig.tables.values() for w in table.values())
         assert rig.assigner.owed or all(set(table) <= ready for table in rig.tables.values())
+
+
+def test_news_in_parts_counts_whole_till_it_would_have_come_again():
+    est = Estimates(bootstrap())
+    est.grow(2)
+    for period in range(6):  # each period tells of one task, over two
+        now = START + period * SECOND
+        est.hear(now, api.TrafficReport(0, period % 2, 20, 10, 1000, 2 * SECOND, ()))
+        est.cover(api.OfferedLoad(8, 2 * SECOND, period % 2, 0, 0))
+        est.age(now)
+    assert est.failing([0, 1]) == (20.0, 10.0) and est.offered() == [8.0, 0.0]
+    est.age(now + 5 * SECOND)
+    est.forget(0)
+    assert est.failing([0, 1]) == (0.0, 0.0) and est.offered() == [4.0, 0.0]
