Reach also from each zone's demand against what its tasks can do, thinned by what the way costs

Cause: zones are unevenly loaded from the first second, and feedback by latency took half a minute to spill; on a slow way it kept sending. Also holds for traffic that moves to one zone and for a cut; hurts where an assigner's own proxies are no fair part of a zone's.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -309,6 +309,7 @@
         self.size: list[float] = []
         self.lines: list[dict[int, float]] = [{} for _ in self.zones]
         self.reach = [[float(a == b) for b in self.zones] for a in self.zones]
+        self.extra = [[0.0 for _ in self.zones] for _ in self.zones]
 
     def restart(self, task: int, hint: list[float]) -> None:
         self.skill.extend([1.0] * (len(hint) - len(self.skill)))
@@ -330,7 +331,8 @@
         kin = sum(home[i] == zone for i in tasks)
         return max(FEEL, idle * min(LEAST_REACH, (2 * self.standing - kin) / max(1, len(tasks) - kin)))
 
-    def step(self, heard: list, costs: list, size: list[float], tasks: list[int], home: list[int]) -> None:
+    def step(self, heard: list, costs: list, size: list[float], part: dict[int, float], demand: list[float],
+             tasks: list[int], home: list[int]) -> None:
         self.size, weight = size, {i: size[i] * self.skill[i] for i in tasks}
         zones = [[i for i in tasks if home[i] == there] for there in self.zones]
         mass = [sum(weight[i] for i in kin) for kin in zones]
@@ -342,20 +344,35 @@
                 # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
                 pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
                 self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
+        even = self.spill([sum(size[i] * part[i] for i in kin) for kin in zones], demand, sum(load) / len(load))
+        met = [[sum(weight[i] * row[i] for i in kin) / (m or 1.0) for kin, m in zip(zones, mass)] for row in heard]
         for z, reach in enumerate(self.reach):
             # By whole zones, whose means are calm: one hot task is its skill's business, not the reach's.
-            cost = [sum(weight[i] * heard[z][i] for i in kin) / (m or 1.0) / (1 - busy)
-                    + self.toll * (there != z) for there, (kin, m, busy) in enumerate(zip(zones, mass, load))]
+            cost = [c / (1 - busy) + self.toll * (there != z)
+                    for there, (c, busy) in enumerate(zip(met[z], load))]
             told_of, least = sum(self.est.tries[z]) >= PRIOR, self.least(z, tasks, home)
             for there in self.zones:
                 if there != z and mass[there] > 0:
                     pull = (cost[z] - cost[there]) / max(cost[z], cost[there]) if mass[z] > 0 else 1.0
-                    reach[there] = max(least, min(1.0, reach[there] + pull * self.stride * told_of))
+                    self.extra[z][there] = max(0.0, min(1.0, self.extra[z][there] + pull * self.stride * told_of))
+                    # What the way there costs shows against what that zone's own proxies meet.
+                    way = 1 - 2 * max(0.0, met[z][there] - met[there][there]) / self.est.soft
+                    reach[there] = max(FEEL, (max(least, even[z][there]) + self.extra[z][there]) * max(0.0, way))
             old = self.lines[z]
             aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
             self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
                                     old.get(i, w) + self.stride * size[i]) for i, w in aim.items()}
 
+    def spill(self, able: list[float], demand: list[float], load: float) -> list[list[float]]:
+        """How far each zone has to reach into the others for all to be about as busy, from what comes to it
+        and what its tasks can do. A zone that nothing is known of is offered nothing."""
+        mean = sum(demand) / (sum(able) or 1.0) * max(1.1, 0.75 * BUSY / load if load > 0 else 0.0)
+        need = [d / (mean or 1.0) for d in demand]
+        spare = [max(0.0, a - n) * (n > 0) for a, n in zip(able, need)]
+        over = [max(0.0, n - a) for a, n in zip(able, need)]
+        part = min(1.0, sum(over) / (sum(spare) or 1.0)) / (sum(over) or 1.0)
+        return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
+
     def weights(self, zone: int, tasks: list[int], home: list[int]) -> dict[int, float]:
         own, reach, least = self.lines[zone], self.reach[zone], self.least(zone, tasks, home)
         # A task not stepped yet begins at its size.
@@ -597,7 +614,11 @@
         size = est.sizes(self.roster.hint, tasks, warm)
         est.age(now)
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
-        self.solver.step(heard, costs, size, tasks, home)
+        demand = [0.0] * self.boot.zones
+        for proxy, zone in tables.zone.items():
+            came = sum(est.came.get((proxy, k), 0.0) for k in range(len(self.boot.methods)))
+            demand[zone] += came or tables.rate[proxy] * self.boot.period / 1e6
+        self.solver.step(heard, costs, size, part, demand, tasks, home)
         published = current = 0.0
         for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
