--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -168,6 +168,11 @@
         """Tries a period and how many of them are bad."""
         return tuple(sum(met[i][k] for met in self.met for i in tasks) for k in (0, 1))
 
+    def everywhere(self, tasks: list[int]) -> bool:
+        """Whether even the best quarter of these tasks fail as in a jam: more than some troubled tasks."""
+        met = sorted(b / n for n, b in (self.failing([i]) for i in tasks) if n > 0)
+        return bool(met) and met[len(met) // 4] > JAM
+
     def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
         """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
         Where no utilisation is told the listed size stands, and latency has to teach the rest."""
@@ -610,7 +615,7 @@
             self.levels.move(now, zone, est.stress(zone, lines) if busy else 0.0, able, busy)
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         warm = [i for i in tasks if part[i] >= 1.0]
-        tables.part_methods(self.ramp.jam and 4 * len(warm) > len(tasks), self.levels.lean, *rest)
+        tables.part_methods(4 * len(warm) > len(tasks) and est.everywhere(warm), self.levels.lean, *rest)
         size = est.sizes(self.roster.hint, tasks, warm)
         est.age(now)
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
