What can wait fills the channel only so far that a drain is still in time; no pace is believed in

Now only receipts prove that lines left, and what can wait holds once it would delay a drain by half the grace.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -447,23 +447,28 @@
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
         self.sent = self.left = 0.0  # lines ever sent, and proven to have left
-        self.at = self.mark = 0
+        self.at = self.heard = self.mark = 0
+        # What may wait for all that can wait too: a drain ordered behind it is still in time.
+        in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
+        self.usual = min(boot.most_waiting / 2, in_time)
         self.marks: dict[int, float] = {}  # lines sent before each mark's reply
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
-        """Without any receipt (all proxies lost, say) believe in an eighth of the healthy pace."""
-        self.left = min(self.sent, self.left + self.boot.lines_per_s / 8 * (now - self.at) / 1e6)
+        """A channel that slows twice at once sends far less than stated, so no pace is believed in unless
+        no receipt has come for so long that those written to must be lost."""
+        if now - self.heard > 4 * (self.boot.worst_transit + self.boot.period):
+            self.left = min(self.sent, self.left + self.boot.lines_per_s / 8 * (now - self.at) / 1e6)
         self.at = now
 
-    def receipt(self, receipt: Receipt) -> None:
-        self.left = max(self.left, self.marks.get(receipt.mark, 0.0))
+    def receipt(self, now: int, receipt: Receipt) -> None:
+        self.left, self.heard = max(self.left, self.marks.get(receipt.mark, 0.0)), now
 
     def held(self) -> bool:  # what can wait is held while half the backlog waits
-        return self.sent - self.left >= self.boot.most_waiting / 2
+        return self.sent - self.left >= self.usual
 
-    def spare(self, now: int, proxies: list[int], part: float) -> int:
-        """Lines that a message to each may hold within this part of the channel's and the proxies' limits."""
+    def spare(self, now: int, proxies: list[int], urgent: bool) -> int:
+        """Lines that a message to each may hold, within the channel's and the proxies' limits."""
         if not proxies:
             return 1 << 30
         since = now - self.boot.counted_over - self.boot.worst_transit
@@ -471,10 +476,11 @@
             times = self.written.setdefault(proxy, deque())
             while times and times[0] < since:
                 times.popleft()
-            if len(times) + 1 > part * self.boot.messages_most:
+            if len(times) + 1 > (0.95 if urgent else 0.6) * self.boot.messages_most:
                 return 0
-        free = part * self.boot.most_waiting - (self.sent - self.left)
-        return max(0, int(free / len(proxies) - self.boot.overhead - 1))
+        waits = self.sent - self.left
+        free = int((0.9 * self.boot.most_waiting - waits) / len(proxies) - self.boot.overhead - 1)
+        return max(0, free if urgent else min(free, int((self.usual - waits) / len(proxies))))
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
         self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
@@ -535,7 +541,7 @@
         orders = []
         for proxy, table, methods in self.joining[:]:
             size = len(self.lines[table]) + 1 + len(self.levels[table])
-            if self.lines[table] and box.spare(now, [proxy], 0.9) >= size:
+            if self.lines[table] and not box.held() and box.spare(now, [proxy], True) >= size:
                 orders.append(Attach(proxy, table, methods))
                 self.joining.remove((proxy, table, methods))
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
@@ -566,7 +572,7 @@
             elif isinstance(event, RosterChange):
                 self.listen(now, event)
             elif isinstance(event, Receipt):
-                self.outbox.receipt(event)
+                self.outbox.receipt(now, event)
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
                 self.tables.join(event, self.levels.lean)
                 self.est.since[event.proxy] = now
@@ -666,8 +672,8 @@
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
             # removals that take a table's last lines out bring others along.
-            room = box.spare(now, proxies, 0.95)
-            spare = 0 if box.held() else box.spare(now, proxies, 0.6) - len(gone)
+            room = box.spare(now, proxies, True)
+            spare = box.spare(now, proxies, False) - len(gone)
             levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (-abs(lines[i] - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -248,17 +248,22 @@
     assert rig.assigner.tables.joining == []  # joins that waited for room were made good
 
 
-def test_a_receipt_from_any_proxy_proves_what_left_before_it():
+def test_a_receipt_from_any_proxy_proves_what_left_before_it_and_no_pace_is_believed_in():
     box = Outbox(bootstrap())
     for _ in range(2):
         already = box.sent
-        box.book(0, [1, 2], 96)
+        box.book(0, [1, 2], 396)
         (mark,) = box.stamp(already)
-    assert box.sent - box.left == 400 and box.spare(0, [1], 1.0) == 1596 and not box.held()
-    box.receipt(api.Receipt(2, mark.mark, 9 * SECOND))
-    assert box.sent - box.left == 200 and box.spare(0, [1], 1.0) == 1796
-    box.receipt(api.Receipt(2, 999, 1))
-    assert box.left == 200
+    assert box.sent - box.left == 1600 and box.spare(0, [1], True) == 196
+    assert box.held() and not box.spare(0, [1], False)
+    box.drain(4 * SECOND)
+    assert box.sent - box.left == 1600
+    box.receipt(SECOND, api.Receipt(2, mark.mark, 9 * SECOND))
+    assert box.sent - box.left == 800 and box.spare(0, [1], True) == 996
+    box.receipt(SECOND, api.Receipt(2, 999, 1))
+    assert box.left == 800
+    box.drain(20 * SECOND)  # nobody has answered for long
+    assert box.sent == box.left
 
 
 def test_calls_are_repeated_with_a_growing_wait_until_one_is_answered():
