Far zones are felt by a standing table's worth of lines; a lost zone leans on others at once

Cause: every table held every task, so a push or a join cost a whole fleet's lines a proxy and a drain a message to all; the channel was the bottleneck at size.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -80,6 +80,9 @@
     def open(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state == TaskState.READY]
 
+    def by_zone(self) -> list[list[int]]:
+        return [[i for i in self.open() if self.zone[i] == zone] for zone in range(self.boot.zones)]
+
     def calls(self, now: int) -> list[Order]:
         if self.ask_at is None or now < self.ask_at:
             return []
@@ -302,8 +305,8 @@
 
 
 class Solver:
-    """The feedback loop on heard latency: a weight goes towards size x the task's skill x the zone's reach, a
-    tenth of the size at most a step. Skill is learnt for all tables, reach for each pair of zones."""
+    """The feedback loop on heard latency: a task's weight goes towards its size x its skill, a tenth of the
+    size at most a step, and counts in other zones' tables by their reach. Skill is learnt for all tables."""
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
         self.zones, self.est, self.standing = range(boot.zones), est, boot.initial_set
@@ -311,62 +314,62 @@
         # Crossing zones as latency: its price is a part of what an RPC past its soft deadline loses.
         self.toll = TOLL * boot.cross_zone_price * est.soft
         self.skill: list[float] = []
-        self.size: list[float] = []
-        self.lines: list[dict[int, float]] = [{} for _ in self.zones]
-        self.reach = [[float(a == b) for b in self.zones] for a in self.zones]
-        self.extra = [[0.0 for _ in self.zones] for _ in self.zones]
+        self.weight: list[float] = []
+        self.reach, self.extra = ([[float(a == b and own) for b in self.zones] for a in self.zones]
+                                  for own in (True, False))
+        self.unwell = [False for _ in self.zones]  # zones that lost half of their own tasks or more
 
     def restart(self, task: int, hint: list[float]) -> None:
         self.skill.extend([1.0] * (len(hint) - len(self.skill)))
-        self.size = self.size + hint[len(self.size):]
-        self.skill[task], self.size[task] = 1.0, hint[task]
-        for own in self.lines:
-            own.pop(task, None)
+        self.weight.extend(hint[len(self.weight):])
+        self.skill[task], self.weight[task] = 1.0, hint[task]
 
     def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
         """Heard latency and toll, at the margin: what one more RPC adds, the more the busier the task."""
         load = self.est.load
         return {i: heard[i] / (1 - load[i]) + (self.toll if home[i] != zone else 0.0) for i in tasks}
 
-    def least(self, zone: int, tasks: list[int], home: list[int]) -> float:
+    def step(self, costs: list, size: list[float], kin: list[int]) -> None:
+        """The weights of a zone's tasks."""
+        cost = {i: sum(row[i] for row in costs) for i in kin}
+        average = sum(self.weight[i] * cost[i] for i in kin) / (sum(self.weight[i] for i in kin) or 1.0)
+        for i in kin:
+            # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
+            pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
+            self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
+            room = self.stride * size[i]
+            self.weight[i] += max(-room, min(room, size[i] * self.skill[i] - self.weight[i]))
+
+    def least(self, kin: int, tasks: int) -> float:
         """What a zone lacks to twice a standing table it borrows from the others at all times: a handful of
         tasks can't even out bursts. Less where cores are idle, and never nothing, to keep feeling the way."""
-        told = [self.est.load[i] for i in tasks if self.est.load[i] > 0] or [BUSY]
+        told = [load for load in self.est.load if load > 0] or [BUSY]
         idle = max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
-        kin = sum(home[i] == zone for i in tasks)
-        return max(FEEL, idle * min(LEAST_REACH, (2 * self.standing - kin) / max(1, len(tasks) - kin)))
-
-    def step(self, heard: list, costs: list, size: list[float], part: dict[int, float], demand: list[float],
-             tasks: list[int], home: list[int]) -> None:
-        self.size, weight = size, {i: size[i] * self.skill[i] for i in tasks}
-        zones = [[i for i in tasks if home[i] == there] for there in self.zones]
-        mass = [sum(weight[i] for i in kin) for kin in zones]
-        load = [sum(weight[i] * self.est.load[i] for i in kin) / (m or 1.0) for kin, m in zip(zones, mass)]
-        for kin, m in zip(zones, mass):
-            cost = {i: sum(row[i] for row in costs) for i in kin}
-            average = sum(weight[i] * cost[i] for i in kin) / (m or 1.0)
-            for i in kin:
-                # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
-                pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
-                self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
-        even = self.spill([sum(size[i] * part[i] for i in kin) for kin in zones], demand, sum(load) / len(load))
-        met = [[sum(weight[i] * row[i] for i in kin) / (m or 1.0) for kin, m in zip(zones, mass)] for row in heard]
+        return max(FEEL, idle * min(LEAST_REACH, (2 * self.standing - kin) / max(1, tasks - kin)))
+
+    def stretch(self, heard: list, zones: list[list[int]], part: dict[int, float], factor: list,
+                demand: list[float]) -> None:
+        """How far each zone reaches into the others. By whole zones, whose means are calm: one hot task is
+        its skill's business, not the reach's."""
+        mass = [sum(self.weight[i] for i in kin) for kin in zones]
+        able = [sum(self.weight[i] * part[i] * row[i] for i in kin) for kin, row in zip(zones, factor)]
+
+        def mean(row: list[float]) -> list[float]:
+            return [sum(self.weight[i] * row[i] for i in kin) / (m or 1.0) for kin, m in zip(zones, mass)]
+        load, met = mean(self.est.load), [mean(row) for row in heard]
+        even = self.spill(able, demand, sum(load) / len(load))
         for z, reach in enumerate(self.reach):
-            # By whole zones, whose means are calm: one hot task is its skill's business, not the reach's.
-            cost = [c / (1 - busy) + self.toll * (there != z)
-                    for there, (c, busy) in enumerate(zip(met[z], load))]
-            told_of, least = sum(self.est.tries[z]) >= PRIOR, self.least(z, tasks, home)
-            for there in self.zones:
-                if there != z and mass[there] > 0:
-                    pull = (cost[z] - cost[there]) / max(cost[z], cost[there]) if mass[z] > 0 else 1.0
-                    self.extra[z][there] = max(0.0, min(1.0, self.extra[z][there] + pull * self.stride * told_of))
+            cost = [c / (1 - busy) + self.toll * (to != z) for to, (c, busy) in enumerate(zip(met[z], load))]
+            told_of, least = sum(self.est.tries[z]) >= PRIOR, self.least(len(zones[z]), len(part))
+            self.unwell[z] = able[z] < mass[z] / 2 or not zones[z]
+            for to in self.zones:
+                if to != z and mass[to] > 0:
+                    pull = (cost[z] - cost[to]) / max(cost[z], cost[to]) * told_of if mass[z] > 0 else 1.0
+                    self.extra[z][to] = max(0.0, min(1.0, self.extra[z][to] + pull * self.stride))
                     # What the way there costs shows against what that zone's own proxies meet.
-                    way = 1 - 2 * max(0.0, met[z][there] - met[there][there]) / self.est.soft
-                    reach[there] = max(FEEL, (max(least, even[z][there]) + self.extra[z][there]) * max(0.0, way))
-            old = self.lines[z]
-            aim = {i: size[i] * self.skill[i] * reach[home[i]] for i in tasks}
-            self.lines[z] = {i: min(max(w, old.get(i, w) - self.stride * size[i]),
-                                    old.get(i, w) + self.stride * size[i]) for i, w in aim.items()}
+                    way = max(0.0, 1 - 2 * max(0.0, met[z][to] - met[to][to]) / self.est.soft)
+                    aim = max(FEEL, (max(least, even[z][to]) + self.extra[z][to]) * way)
+                    reach[to] = min(aim, 1.0 if self.unwell[z] or not reach[to] else reach[to] + STEP)
 
     def spill(self, able: list[float], demand: list[float], load: float) -> list[list[float]]:
         """How far each zone has to reach into the others for all to be about as busy, from what comes to it
@@ -378,10 +381,17 @@
         part = min(1.0, sum(over) / (sum(spare) or 1.0)) / (sum(over) or 1.0)
         return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
 
-    def weights(self, zone: int, tasks: list[int], home: list[int]) -> dict[int, float]:
-        own, reach, least = self.lines[zone], self.reach[zone], self.least(zone, tasks, home)
-        # A task not stepped yet begins at its size.
-        return {i: own.get(i, self.size[i] * max(reach[home[i]], least)) for i in tasks}
+    def weights(self, zone: int, zones: list[list[int]], before: dict[int, float]) -> dict[int, float]:
+        """A zone that is only felt has a standing table's worth of lines, which carry the weight of all:
+        lines that hardly count would cost the channel as much as those that do."""
+        lines = {}
+        for to, kin in enumerate(zones):
+            reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
+            some = kin[:max(1, self.standing)]
+            narrow = reach <= FEEL or reach < 3 * FEEL and sum(i in before for i in kin) <= len(some)
+            for i in some if narrow else kin:
+                lines[i] = self.weight[i] * reach * (len(kin) / len(some) if narrow else 1.0)
+        return lines
 
 
 class Gate:
@@ -629,7 +639,10 @@
         for proxy, zone in tables.zone.items():
             came = sum(est.came.get((proxy, k), 0.0) for k in range(len(self.boot.methods)))
             demand[zone] += came or tables.rate[proxy] * self.boot.period / 1e6
-        self.solver.step(heard, costs, size, part, demand, tasks, home)
+        zones = self.roster.by_zone()
+        for kin in zones:
+            self.solver.step(costs, size, kin)
+        self.solver.stretch(heard, zones, part, self.health.factor, demand)
         published = current = 0.0
         for zone, cost in enumerate(costs):
             lines, _ = self.wanted(now, zone, tasks)
@@ -646,14 +659,15 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         if tables.parted or tables.bound[tables.excess]:
             # The slowest of the warm tasks are left to the methods that give way.
-            able = [(self.solver.size[i] * self.solver.skill[i], i) for i in tasks if part[i] >= 1.0]
+            able = [(self.solver.weight[i], i) for i in tasks if part[i] >= 1.0]
             sinks = [i for _, i in sorted(able)[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
-        lines = self.solver.weights(table, tasks, self.roster.zone)
+        lines = self.solver.weights(table, self.roster.by_zone(), tables.lines[table])
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
-        caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
+        # A zone that loses its own tasks leans on the others at once.
+        caps = {i: factor[i] * part[i] + 2 * (i in sinks) + 4 * self.solver.unwell[table] for i in lines}
         return self.ramp.hold(lines, part, factor), caps
 
     def publish(self, now: int, push: bool) -> list[Order]:
