--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -519,10 +519,12 @@
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
         self.rate: dict[int, float] = {}
+        self.since: dict[int, int] = {}
         self.strain, self.well, self.patience, self.parted = 0, 0, 1, False
 
-    def join(self, event: Joined, lean: int) -> None:
+    def join(self, now: int, event: Joined, lean: int) -> None:
         self.leave(event.proxy)
+        self.since[event.proxy] = now
         self.zone[event.proxy] = event.zone
         self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
         self.joining.append((event.proxy, event.zone, 0))
@@ -549,9 +551,11 @@
 
     def attach(self, now: int, box: Outbox) -> list[Order]:
         orders = []
-        for proxy, table, methods in self.joining[:]:
+        # Proxies without a table first, whatever waits once they have waited: what they hold may be gone.
+        for proxy, table, methods in sorted(self.joining, key=lambda due: due[2] > 0):
             size = len(self.lines[table]) + 1 + len(self.levels[table])
-            if self.lines[table] and not box.held() and box.spare(now, [proxy], True) >= size:
+            due = not methods and now - self.since[proxy] > box.boot.drain_grace / 4
+            if self.lines[table] and (due or not box.held()) and box.spare(now, [proxy], True) >= size:
                 orders.append(Attach(proxy, table, methods))
                 self.joining.remove((proxy, table, methods))
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
@@ -584,7 +588,7 @@
             elif isinstance(event, Receipt):
                 self.outbox.receipt(now, event)
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
-                self.tables.join(event, self.levels.lean)
+                self.tables.join(now, event, self.levels.lean)
                 self.est.since[event.proxy] = now
                 self.est.forget(event.proxy)
             elif isinstance(event, Left):
