--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -262,46 +262,35 @@
     """What cold tasks may get from all proxies together, by the time since their start."""
 
     def __init__(self, boot: Bootstrap) -> None:
-        self.boot = boot
-        self.jam = self.calm = False
-        self.ease, self.peak, self.boost = 0.0 if boot.outlier_after > 0 else 1.0, 0.0, 1.0
+        self.boot, self.calm, self.listed = boot, False, boot.outlier_after == 0
         # Periods till an instance that starts over has heard tries run out of time.
         self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up in eighths; up to half the stated multiple of that while hardly any
-        tries fail: most tasks warm up quicker than the slowest that is stated."""
+        """From the stated floor up in eighths, at half the stated multiple: most tasks warm up quicker than
+        the slowest that is stated, and chance piles up RPCs."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
-        return min(0.99, max(1, int(8 * part * self.boost)) / 8)  # 1 is for warm ones alone
-
-    def judge(self, tried: float, bad: float, tasks: int, cold: float, level: float, fresh: bool) -> None:
-        """In a jam RPCs come again and gather on whoever has room: a cold task is offered less by as much as
-        tries outnumber the best the fleet did. Where proxies keep away after failures in a row they leave
-        nothing else to pick, whatever its weight: cold tasks are listed there only if their parts could take
-        all tries. News too old to show a jam counts as one."""
-        self.jam = bad > JAM * (tried + PRIOR)
+        return min(0.99, max(1, int(4 * part * self.boot.fall_multiple)) / 8)  # 1 is for warm ones alone
+
+    def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
+        """Where proxies keep away after failures in a row they leave nothing else to pick in a jam, whatever
+        its weight: cold tasks are listed there only if their parts could take all tries. News too old to
+        show a jam counts as one."""
         self.calm = bad < JAM / 10 * tried
-        well = max(0.0, 1 - 2 * bad / (JAM * tried + PRIOR)) * max(0.0, 2 * level - 1) * fresh
-        self.boost = 1 + (self.boot.fall_multiple / 2 - 1) * well
-        self.peak = max(self.peak * 0.98, (tried - bad) / tasks)
-        self.ease = min(1.0, (self.peak * tasks + PRIOR) / (tried + PRIOR))
         self.deaf -= tried > 0
-        if self.boot.outlier_after > 0 and (self.jam or self.deaf > 0 or not fresh):
-            self.ease *= 0 < tried < cold
+        jam = bad > JAM * (tried + PRIOR) or self.deaf > 0 or not fresh
+        self.listed = self.boot.outlier_after == 0 or not jam or 0 < tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average; less where so many are
-        cold that a busy fleet's work would bring them more than their parts, and half of that in a jam, where
-        p2c lets a cold task, with the least out, win both draws it is in."""
+        """A cold task gets at most its part of what a warm one carries on average, and less where so many
+        are cold that a busy fleet's work would bring them more than their parts."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
-        excess = BUSY * len(lines) - sum(p for p in part.values() if p < 1.0)
-        both = self.jam and self.boot.pick == Pick.P2C and 2 * len(warm) < len(lines)
-        ease = self.ease * min(1.0, len(warm) / max(excess, 1e-9)) / (2 if both else 1)
-        even = ease * sum(warm) / len(warm) if warm else 1e9
+        excess = BUSY * len(lines) - sum(part[i] for i in lines if part[i] < 1.0)
+        even = min(1.0, len(warm) / max(excess, 1e-9)) * sum(warm) / len(warm) if warm else 1e9
         return {i: max(w if part[i] >= 1.0 else part[i] * min(w, even * factor[i]), 1e-4)
-                for i, w in lines.items() if part[i] >= 1.0 or even > 0}
+                for i, w in lines.items() if part[i] >= 1.0 or self.listed or not warm}
 
 
 class Solver:
@@ -628,7 +617,7 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able({i: p * max(row[i] for row in self.health.factor) for i, p in part.items()})
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
-        self.ramp.judge(*est.failing(tasks), len(tasks), cold, min(self.levels.open), est.fresh_at(now))
+        self.ramp.judge(*est.failing(tasks), cold, est.fresh_at(now))
         for zone in est.zones:
             lines = tables.lines[zone]
             busy = not est.idle(lines)
