Far zones give as many lines as each keep half their weight; fewer, larger steps of ramp and health

Cause: tables held every far task at a small weight, and each cut or ramp step was sent again to all.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -26,8 +26,9 @@
 LEASH = 1.0  # how strongly a weight is drawn back to the task's size
 LEAST_REACH = 0.3  # part of a line's weight in the tables of other zones where a zone lacks tasks
 FEEL = 0.02  # and where it does not, so that news of the way there keeps coming
+WORTH = 0.5  # part of its weight that a line of another zone's task should have
 TOLL = 4.0  # soft deadlines of latency that one point of the price for crossing zones is worth
-TRICKLE = 0.05  # part left to a task that lies low, so that news of it keeps coming
+TRICKLE = 1 / 16  # part left to a task that lies low, so that news of it keeps coming
 BUSY = 0.85  # utilisation from which levels act, and which they aim at
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
@@ -255,7 +256,7 @@
                 if ratio[i] > base + 0.58:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
-                    factor[i] = min(1.0, factor[i] * (2.0 if est.tries[zone][i] >= 1.0 else 1.25))
+                    factor[i] = min(1.0, factor[i] * (4.0 if est.tries[zone][i] >= 1.0 else 2.0))
 
 
 class Ramp:
@@ -267,12 +268,12 @@
         self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up in eighths, at half the stated multiple: most tasks warm up quicker than
+        """From the stated floor up in quarters, at half the stated multiple: most tasks warm up quicker than
         the slowest that is stated, and chance piles up RPCs."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
-        return min(0.99, max(1, int(4 * part * self.boot.fall_multiple)) / 8)  # 1 is for warm ones alone
+        return min(0.99, max(1, int(2 * part * self.boot.fall_multiple)) / 4)  # 1 is for warm ones alone
 
     def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
         """Where proxies keep away after failures in a row they leave nothing else to pick in a jam, whatever
@@ -370,16 +371,15 @@
         part = min(1.0, sum(over) / (sum(spare) or 1.0)) / (sum(over) or 1.0)
         return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
 
-    def weights(self, zone: int, zones: list[list[int]], before: dict[int, float]) -> dict[int, float]:
-        """A zone that is only felt has a standing table's worth of lines, which carry the weight of all:
-        lines that hardly count would cost the channel as much as those that do."""
+    def weights(self, zone: int, zones: list[list[int]]) -> dict[int, float]:
+        """All of its own tasks, and of each other zone's as many as give lines worth their place in the
+        channel, each zone taking others: lines that hardly count cost as much as those that do."""
         lines = {}
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
-            some = kin[:max(1, self.standing)]
-            narrow = reach <= FEEL or reach < 3 * FEEL and sum(i in before for i in kin) <= len(some)
-            for i in some if narrow else kin:
-                lines[i] = self.weight[i] * reach * (len(kin) / len(some) if narrow else 1.0)
+            start = zone * len(kin) // len(zones)
+            some = (kin[start:] + kin[:start])[:max(self.standing, round(len(kin) * reach / WORTH))]
+            lines.update((i, self.weight[i] * reach * len(kin) / len(some)) for i in some)
         return lines
 
 
@@ -657,7 +657,7 @@
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
-        lines = self.solver.weights(table, self.roster.by_zone(), tables.lines[table])
+        lines = self.solver.weights(table, self.roster.by_zone())
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
         # A zone that loses its own tasks leans on the others at once.
         caps = {i: factor[i] * part[i] + 2 * (i in sinks) + 4 * self.solver.unwell[table] for i in lines}
