--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -562,7 +562,7 @@
         self.roster, self.est, self.health = Roster(boot, Random(seed)), Estimates(boot), Health(boot)
         self.ramp, self.solver, self.gate = Ramp(boot), Solver(boot, self.est), Gate()
         self.levels, self.tables, self.outbox = Levels(boot), Tables(boot), Outbox(boot)
-        self.next_period, self.owed = -1, False
+        self.next_period, self.owed, self.told = -1, False, 0
 
     def decide(self, now: int, events: list[Event]) -> list[Order]:
         self.outbox.drain(now)
@@ -666,15 +666,25 @@
     def publish(self, now: int, push: bool) -> list[Order]:
         """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
         box, tables, tasks = self.outbox, self.tables, self.roster.open()
+        cold = {i for i in tasks if self.ramp.part(now, self.roster.started[i]) < 1.0}
+        # Removals behind a long queue wait a little for more of them: nothing is lost, and heads are saved.
+        self.told = self.told if self.owed else now
+        wait = box.sent - box.left > box.usual / 2 and now < self.told + self.boot.drain_grace // 4
         orders, already, self.owed = [], box.sent, False
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
-            gone = [i for i in before if i not in lines]
-            # New tasks and moved caps go out beside the gate: the ramp and health are not its business.
+            gone = [i for i in before if self.roster.state[i] != TaskState.READY]
+            if gone and wait and len(gone) < len(before):
+                self.owed = True
+                continue
+            # New tasks and moved caps go out beside the gate: the ramp and health are not its business. Open
+            # tasks that leave the table wait like the rest, cold ones in front, and while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
+            if not lines or any(i in before for i in lines):
+                moved += [i for i in before if i not in lines and i not in gone]
             wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered())
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
@@ -682,17 +692,18 @@
             room = box.spare(now, proxies, True)
             spare = box.spare(now, proxies, False) - len(gone)
             levels = levels if len(levels) <= spare else {}
-            moved.sort(key=lambda i: (-abs(lines[i] - before.get(i, 0.0)), i))
+            moved.sort(key=lambda i: (i in lines or i not in cold, -abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
             moved = moved[:max(spare, 0)]
             if len(gone) + len(moved) + len(levels) > room:
                 gone, moved, levels, self.owed = gone[:room], [], {}, True
-            orders += [PutLine(lines[i], i, table) for i in moved] + [PutLine(0.0, i, table) for i in gone]
+            orders += [PutLine(lines.get(i, 0.0), i, table) for i in moved + gone]
             orders += [SetLevel(table, 1 << k, *level) for k, level in levels.items()]
-            for i in gone:
-                del before[i], cap_before[i]
-            before.update((i, lines[i]) for i in moved)
-            cap_before.update((i, caps[i]) for i in moved)
+            for i in moved + gone:
+                if i in lines:
+                    before[i], cap_before[i] = lines[i], caps[i]
+                else:
+                    del before[i], cap_before[i]
             sent.update(levels)
             box.book(now, proxies, len(gone) + len(moved) + len(levels))
         return orders + tables.attach(now, box) + box.stamp(already)
