--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -263,7 +263,7 @@
     """What cold tasks may get from all proxies together, by the time since their start."""
 
     def __init__(self, boot: Bootstrap) -> None:
-        self.boot, self.calm, self.listed = boot, False, boot.outlier_after == 0
+        self.boot, self.calm, self.listed, self.ease = boot, False, boot.outlier_after == 0, 1.0
         # Periods till an instance that starts over has heard tries run out of time.
         self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
 
@@ -273,13 +273,15 @@
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
-        return min(0.99, max(1, int(2 * part * self.boot.fall_multiple)) / 4)  # 1 is for warm ones alone
+        return min(0.99, max(0.5, int(2 * part * self.ease * self.boot.fall_multiple)) / 4)  # 1 is for warm ones alone
 
     def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
-        """Where proxies keep away after failures in a row they leave nothing else to pick in a jam, whatever
-        its weight: cold tasks are listed there only if their parts could take all tries. News too old to
-        show a jam counts as one."""
+        """Where more than half of all tries are bad tasks are sent far more than they can do, and a cold one
+        gets less by as much. Where proxies keep away after failures in a row they leave nothing else to pick
+        in a jam, whatever its weight: cold tasks are listed there only if their parts could take all tries.
+        News too old to show a jam counts as one."""
         self.calm = bad < JAM / 10 * tried
+        self.ease = min(1.0, 2 * (1 - bad / (tried + PRIOR)))
         self.deaf -= tried > 0
         jam = bad > JAM * (tried + PRIOR) or self.deaf > 0 or not fresh
         self.listed = self.boot.outlier_after == 0 or not jam or 0 < tried < cold
@@ -671,6 +673,7 @@
         self.told = self.told if self.owed else now
         wait = box.sent - box.left > box.usual / 2 and now < self.told + self.boot.drain_grace // 4
         orders, already, self.owed = [], box.sent, False
+        crowd = any(not methods for _, _, methods in tables.joining)  # who waits for a table goes first
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
@@ -690,7 +693,7 @@
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
             # removals that take a table's last lines out bring others along.
             room = box.spare(now, proxies, True)
-            spare = box.spare(now, proxies, False) - len(gone)
+            spare = 0 if proxies and crowd else box.spare(now, proxies, False) - len(gone)
             levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (i in lines or i not in cold, -abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
