--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -264,8 +264,8 @@
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot, self.calm, self.listed, self.ease = boot, False, boot.outlier_after == 0, 1.0
-        # Periods till an instance that starts over has heard tries run out of time.
-        self.deaf = 2 + max(m.deadline for m in boot.methods) / boot.period
+        # Periods of news till tries have run out of time that were sent while there was none.
+        self.deaf = self.blind = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
         """From the stated floor up in quarters, at half the stated multiple: most tasks warm up quicker than
@@ -282,8 +282,8 @@
         News too old to show a jam counts as one."""
         self.calm = bad < JAM / 10 * tried
         self.ease = min(1.0, 2 * (1 - bad / (tried + PRIOR)))
-        self.deaf -= tried > 0
-        jam = bad > JAM * (tried + PRIOR) or self.deaf > 0 or not fresh
+        self.deaf = self.deaf - (tried > 0) if fresh else self.blind
+        jam = bad > JAM * (tried + PRIOR) or self.deaf > 0
         self.listed = self.boot.outlier_after == 0 or not jam or 0 < tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
@@ -678,12 +678,13 @@
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
-            gone = [i for i in before if self.roster.state[i] != TaskState.READY]
+            gone = [i for i in before if i not in lines and (i in cold or self.roster.state[i] != TaskState.READY)]
+            gone.sort(key=lambda i: (i in cold, i))
             if gone and wait and len(gone) < len(before):
                 self.owed = True
                 continue
-            # New tasks and moved caps go out beside the gate: the ramp and health are not its business. Open
-            # tasks that leave the table wait like the rest, cold ones in front, and while others stay.
+            # New tasks and moved caps go out beside the gate: the ramp and health are not its business. Warm
+            # tasks that leave the table wait like the rest, and while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
             if not lines or any(i in before for i in lines):
@@ -695,7 +696,7 @@
             room = box.spare(now, proxies, True)
             spare = 0 if proxies and crowd else box.spare(now, proxies, False) - len(gone)
             levels = levels if len(levels) <= spare else {}
-            moved.sort(key=lambda i: (i in lines or i not in cold, -abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
+            moved.sort(key=lambda i: (-abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
             moved = moved[:max(spare, 0)]
             if len(gone) + len(moved) + len(levels) > room:
