--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -15,8 +15,8 @@
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, MethodTerms, OfferedLoad, Order,
-    Pick, PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, OfferedLoad, Order,
+    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -33,6 +33,7 @@
 MEMORY = 0.75  # part of what was heard that still counts a period later
 SPEED_MEMORY = 0.9  # the same for what a task can do, which changes less
 LEAST_PART = 1 / 9  # of the tasks, left in a jam to methods that give way
+ON_PROOF = 1  # the way to try again that can't repeat an effect, whatever the method: the first never ran
 JAM = 0.25  # part of all tries that end badly while the fleet is in a jam
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
 
@@ -100,15 +101,16 @@
         self.soft = sum(m.soft_deadline * m.criticality for m in boot.methods) / total
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        # Newest utilisation heard (-1 once used) and RPCs waiting; utilisation, smoothed; RPCs answered and
-        # the busy periods they took, while warm; what that makes in one busy period.
+        # Newest utilisation heard (-1 once used); the same smoothed; RPCs answered and the busy periods they
+        # took, while warm; what that makes in one busy period.
         self.util: list[float] = []
-        self.queue, self.load, self.served, self.busy, self.does = ([] for _ in range(5))
+        self.load, self.served, self.busy, self.does = ([] for _ in range(4))
         # By zone of proxies and task: tries, bad ones and good latency a period as last heard, and till when
         # that holds. A period brings news of some tasks only, so what was heard last counts till then.
         self.met, self.till = ([[] for _ in self.zones] for _ in range(2))
-        self.since, self.upto = {}, {}  # when a proxy joined; up to when what was heard of it covers
-        self.came: dict[tuple[int, int], float] = {}  # RPCs a period by proxy and method, repeats and all
+        # By joined proxy and method: RPCs a period, repeats and all, and up to when what was heard covers.
+        self.came: dict[int, dict[int, tuple[float, int]]] = {}
+        self.since: dict[int, int] = {}  # when each proxy joined
 
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.util)
@@ -120,7 +122,7 @@
             row.extend([0.0] * more)
 
     def rows(self) -> list[list[float]]:
-        return [self.queue, self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
+        return [self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
 
     def hear(self, now: int, report: TrafficReport) -> None:
         zone, task = report.zone, report.task
@@ -132,30 +134,26 @@
         self.bad[zone][task] += bad
         self.cost[zone][task] += good * report.latency + bad * self.abort_cost
         told = dict(zip(self.boot.load_names, report.load))
-        self.util[task], self.queue[task] = min(told.get("util", -1.0), 1.5), max(0.0, told.get("queue", 0.0))
+        self.util[task] = min(told.get("util", -1.0), 1.5)
         span = max(report.over, self.boot.period)
-        self.met[zone][task] = tuple(x * self.boot.period / span for x in (bad + good, bad, good * report.latency))
+        part = self.boot.period / span
+        self.met[zone][task] = (bad + good) * part, bad * part, good * report.latency * part
         self.till[zone][task] = now + 2 * span
 
     def cover(self, event: OfferedLoad) -> None:
-        key = event.proxy, event.method
-        self.upto[key] = self.upto.get(key, self.since.get(event.proxy, 0)) + event.over
-        self.came[key] = event.rpcs * self.boot.period / max(event.over, self.boot.period)
-
-    def forget(self, proxy: int) -> None:
-        for row in (self.upto, self.came):
-            for key in [key for key in row if key[0] == proxy]:
-                del row[key]
+        rows = self.came.setdefault(event.proxy, {})
+        _, upto = rows.get(event.method, (0.0, self.since.get(event.proxy, 0)))
+        part = self.boot.period / max(event.over, self.boot.period)
+        rows[event.method] = event.rpcs * part, upto + event.over
 
     def offered(self) -> list[float]:
         """RPCs that come in a period, by method."""
-        total = [0.0] * len(self.boot.methods)
-        for (_, method), rpcs in self.came.items():
-            total[method] += rpcs
-        return total
+        none = (0.0, 0)
+        return [sum(rows.get(k, none)[0] for rows in self.came.values()) for k in range(len(self.boot.methods))]
 
     def fresh_at(self, now: int) -> bool:
-        return now - max(self.upto.values(), default=0) < 3 * self.boot.period
+        since = now - 3 * self.boot.period
+        return any(upto > since for rows in self.came.values() for _, upto in rows.values())
 
     def age(self, now: int) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
@@ -197,15 +195,13 @@
         scale = sum(hint[i] for i in tasks) / sum(found[i] for i in tasks)
         return [x * scale for x in found]
 
-    def stress(self, zone: int, lines: dict[int, float]) -> float:
-        """Above 1: a zone's tries end bad or late, or wait long, which more RPCs would only make worse.
-        Not to be asked while its table's tasks have idle cores: weights and health must mend that."""
+    def stress(self, zone: int) -> float:
+        """Above 1: a zone's tries end bad or late, which more RPCs would only make worse. Not to be asked
+        while its table's tasks have idle cores: weights and health must mend that."""
         tries, bad, slow = (sum(x) for x in zip(*self.met[zone]))
-        if tries < PRIOR or not lines:
+        if tries < PRIOR:
             return 0.0
-        wait = sum(w * self.queue[i] / self.does[i] for i, w in lines.items() if self.does[i] > 0)
-        wait *= self.boot.period / sum(lines.values())
-        return max(slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM, wait / self.soft * 3)
+        return slow / max(tries - bad, 1.0) / self.soft / 0.6 + bad / tries / JAM
 
     def idle(self, lines: dict[int, float]) -> bool:
         return sum(w * (BUSY - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
@@ -273,7 +269,8 @@
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
-        return min(0.99, max(0.5, int(2 * part * self.ease * self.boot.fall_multiple)) / 4)  # 1 is for warm ones alone
+        part = max(0.5, int(2 * part * self.ease * self.boot.fall_multiple)) / 4
+        return min(0.99, part)  # 1 is for warm ones alone
 
     def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
         """Where more than half of all tries are bad tasks are sent far more than they can do, and a cold one
@@ -334,10 +331,8 @@
 
     def least(self, kin: int, tasks: int) -> float:
         """What a zone lacks to twice a standing table it borrows from the others at all times: a handful of
-        tasks can't even out bursts. Less where cores are idle, and never nothing, to keep feeling the way."""
-        told = [load for load in self.est.load if load > 0] or [BUSY]
-        idle = max(0.2, min(1.0, 3 * sum(told) / len(told) / BUSY - 1))
-        return max(FEEL, idle * min(LEAST_REACH, (2 * self.standing - kin) / max(1, tasks - kin)))
+        tasks can't even out bursts. Never nothing, to keep feeling the way."""
+        return max(FEEL, min(LEAST_REACH, (2 * self.standing - kin) / max(1, tasks - kin)))
 
     def stretch(self, heard: list, zones: list[list[int]], part: dict[int, float], factor: list,
                 demand: list[float]) -> None:
@@ -406,11 +401,11 @@
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
         # Till a cut has travelled, tries let in before it have run out, and sums have come.
         self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)
-        # The table of methods: a row each, with its way to try again and whether it gives way to others.
+        # The table of methods: a row each, whether it gives way to others.
         self.even = min(1.0, 3 * boot.worst_method_goal)
         most = max(m.criticality for m in boot.methods)
-        self.rows = [(k, retry_way(m), m.criticality < most) for k, m in enumerate(boot.methods)]
-        self.lean = sum(1 << k for k, _, gives_way in self.rows if gives_way and self.off)
+        self.gives_way = [m.criticality < most for m in boot.methods]
+        self.lean = sum(1 << k for k, low in enumerate(self.gives_way) if low and self.off)
 
     def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
         """Down at once to what the fleet is able to do of what comes, where its cores are busy; further in
@@ -427,17 +422,11 @@
         """As far as much must go, lower criticality gives way first, less so where the goals ask for the
         worst method. Further tries, however safe, feed a jam and pile up on whoever has room."""
         level = self.open[zone]
-        lean = sum(offered[k] for k, _, low in self.rows if low) / (sum(offered) or 1.0)
+        lean = sum(came for came, low in zip(offered, self.gives_way) if low) / (sum(offered) or 1.0)
         top, even = min(1.0, level / max(1 - lean, 1e-9)), max(self.even, level)
         first = {False: top, True: (level - (1 - lean) * top) / max(lean, 1e-9)}
         part = {low: max(1, round(20 * (even * level + (1 - even) * x))) / 20 for low, x in first.items()}
-        return {k: (part[low], way if calm else 0) for k, way, low in self.rows}
-
-
-def retry_way(method: MethodTerms) -> int:
-    """How a proxy may try again with no effect twice: on proof that the first never ran that is always safe,
-    whatever the method's repeat mode, group and window, and whichever zones a table's tasks are in."""
-    return 1
+        return {k: (part[low], ON_PROOF if calm else 0) for k, low in enumerate(self.gives_way)}
 
 
 class Outbox:
@@ -510,12 +499,10 @@
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
         self.rate: dict[int, float] = {}
-        self.since: dict[int, int] = {}
-        self.strain, self.well, self.patience, self.parted = 0, 0, 1, False
+        self.strain, self.parted = 0, False
 
-    def join(self, now: int, event: Joined, lean: int) -> None:
+    def join(self, event: Joined, lean: int) -> None:
         self.leave(event.proxy)
-        self.since[event.proxy] = now
         self.zone[event.proxy] = event.zone
         self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
         self.joining.append((event.proxy, event.zone, 0))
@@ -529,23 +516,20 @@
 
     def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
         """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks: the
-        rest come free of RPCs that run out of time. All are together again when the rest have done well for
-        some periods (what they tried and how much of it was bad), for longer each time it was too early."""
+        rest come free of RPCs that run out of time. All are together again once the rest do well."""
         self.strain = max(0, min(4, self.strain + (1 if jam else -1)))
-        self.well = self.well + 1 if self.parted and bad < JAM / 5 * tried else 0
-        if lean and (self.parted and (not self.strain or self.well >= self.patience)
-                     or not self.parted and self.strain >= 2):
-            self.patience *= 2 if self.well else 1
-            self.parted, self.strain, self.well = not self.parted, 0, 0
+        over = not self.strain or bad < JAM / 5 * tried
+        if lean and (over if self.parted else self.strain >= 2):
+            self.parted, self.strain = not self.parted, 0
             self.joining = [due for due in self.joining if due[2] == 0]
             self.joining += [(p, self.excess if self.parted else z, lean) for p, z in self.zone.items()]
 
-    def attach(self, now: int, box: Outbox) -> list[Order]:
+    def attach(self, now: int, box: Outbox, since: dict[int, int]) -> list[Order]:
         orders = []
         # Proxies without a table first, whatever waits once they have waited: what they hold may be gone.
         for proxy, table, methods in sorted(self.joining, key=lambda due: due[2] > 0):
             size = len(self.lines[table]) + 1 + len(self.levels[table])
-            due = not methods and now - self.since[proxy] > box.boot.drain_grace / 4
+            due = not methods and now - since[proxy] > box.boot.drain_grace / 4
             if self.lines[table] and (due or not box.held()) and box.spare(now, [proxy], True) >= size:
                 orders.append(Attach(proxy, table, methods))
                 self.joining.remove((proxy, table, methods))
@@ -579,12 +563,12 @@
             elif isinstance(event, Receipt):
                 self.outbox.receipt(now, event)
             elif isinstance(event, Joined) and event.zone < self.boot.zones:
-                self.tables.join(now, event, self.levels.lean)
+                self.tables.join(event, self.levels.lean)
                 self.est.since[event.proxy] = now
-                self.est.forget(event.proxy)
+                self.est.came.pop(event.proxy, None)
             elif isinstance(event, Left):
                 self.tables.leave(event.proxy)
-                self.est.forget(event.proxy)
+                self.est.came.pop(event.proxy, None)
         if self.boot.partitions:  # key slices are not decided yet
             return []
         # A period is worked as its reports come; the timer stands in for reports that stay away.
@@ -621,9 +605,8 @@
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
         self.ramp.judge(*est.failing(tasks), cold, est.fresh_at(now))
         for zone in est.zones:
-            lines = tables.lines[zone]
-            busy = not est.idle(lines)
-            self.levels.move(now, zone, est.stress(zone, lines) if busy else 0.0, able, busy)
+            busy = not est.idle(tables.lines[zone])
+            self.levels.move(now, zone, est.stress(zone) if busy else 0.0, able, busy)
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         warm = [i for i in tasks if part[i] >= 1.0]
         tables.part_methods(4 * len(warm) > len(tasks) and est.everywhere(warm), self.levels.lean, *rest)
@@ -632,7 +615,7 @@
         costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
         demand = [0.0] * self.boot.zones
         for proxy, zone in tables.zone.items():
-            came = sum(est.came.get((proxy, k), 0.0) for k in range(len(self.boot.methods)))
+            came = sum(rpcs for rpcs, _ in est.came.get(proxy, {}).values())
             demand[zone] += came or tables.rate[proxy] * self.boot.period / 1e6
         zones = self.roster.by_zone()
         for kin in zones:
@@ -668,6 +651,7 @@
     def publish(self, now: int, push: bool) -> list[Order]:
         """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
         box, tables, tasks = self.outbox, self.tables, self.roster.open()
+        ready = set(tasks)
         cold = {i for i in tasks if self.ramp.part(now, self.roster.started[i]) < 1.0}
         # Removals behind a long queue wait a little for more of them: nothing is lost, and heads are saved.
         self.told = self.told if self.owed else now
@@ -678,8 +662,8 @@
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
-            gone = [i for i in before if i not in lines and (i in cold or self.roster.state[i] != TaskState.READY)]
-            gone.sort(key=lambda i: (i in cold, i))
+            away = [i for i in before if i not in lines]
+            gone = sorted((i for i in away if i in cold or i not in ready), key=lambda i: (i in cold, i))
             if gone and wait and len(gone) < len(before):
                 self.owed = True
                 continue
@@ -688,7 +672,7 @@
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
             if not lines or any(i in before for i in lines):
-                moved += [i for i in before if i not in lines and i not in gone]
+                moved += [i for i in away if i not in gone]
             wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered())
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first; of what can wait, as much as there is room for, the largest moves first; and
@@ -710,4 +694,4 @@
                     del before[i], cap_before[i]
             sent.update(levels)
             box.book(now, proxies, len(gone) + len(moved) + len(levels))
-        return orders + tables.attach(now, box) + box.stamp(already)
+        return orders + tables.attach(now, box, self.est.since) + box.stamp(already)
