--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -23,7 +23,6 @@
 V = 50.0  # weight of the gain against the price of a push
 NOISE_FLOOR = 0.05  # a smaller gain counts as none
 STEP = 0.1  # a weight moves by at most this part in a period, and a line is sent once it moved by more
-LEASH = 1.0  # how strongly a weight is drawn back to the task's size
 LEAST_REACH = 0.3  # part of a line's weight in the tables of other zones where a zone lacks tasks
 FEEL = 0.02  # and where it does not, so that news of the way there keeps coming
 WORTH = 0.5  # part of its weight that a line of another zone's task should have
@@ -52,8 +51,7 @@
     def hear(self, now: int, change: RosterChange) -> list[int]:
         """Take a list event; returns the tasks that are new or have started again."""
         if change.kind == ListKind.FAILED:
-            # A call failed or the watch broke: ask again after a growing, jittered wait.
-            if self.ask_at is None or self.ask_at > now:
+            if self.ask_at is None or self.ask_at > now:  # ask again after a growing, jittered wait
                 self.failures += 1
                 wait = self.boot.period * min(2 ** self.failures, 16) / 2
                 self.ask_at = now + round(wait * (0.5 + self.chance()))
@@ -101,14 +99,13 @@
         self.soft = sum(m.soft_deadline * m.criticality for m in boot.methods) / total
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        # Newest utilisation heard (-1 once used); the same smoothed; RPCs answered and the busy periods they
-        # took, while warm; what that makes in one busy period.
+        # Utilisation just heard (-1 once used), and smoothed; RPCs answered while warm, the busy periods they
+        # took, and what that makes in one.
         self.util: list[float] = []
         self.load, self.served, self.busy, self.does = ([] for _ in range(4))
-        # By zone of proxies and task: tries, bad ones and good latency a period as last heard, and till when
-        # that holds. A period brings news of some tasks only, so what was heard last counts till then.
+        # News comes in parts. By zone of proxies and task: tries, bad ones and good latency a period as last
+        # heard, and till when that holds. By proxy and method: RPCs a period, and up to when news covers.
         self.met, self.till = ([[] for _ in self.zones] for _ in range(2))
-        # By joined proxy and method: RPCs a period, repeats and all, and up to when what was heard covers.
         self.came: dict[int, dict[int, tuple[float, int]]] = {}
         self.since: dict[int, int] = {}  # when each proxy joined
 
@@ -146,10 +143,8 @@
         part = self.boot.period / max(event.over, self.boot.period)
         rows[event.method] = event.rpcs * part, upto + event.over
 
-    def offered(self) -> list[float]:
-        """RPCs that come in a period, by method."""
-        none = (0.0, 0)
-        return [sum(rows.get(k, none)[0] for rows in self.came.values()) for k in range(len(self.boot.methods))]
+    def offered(self, proxy: int) -> float:
+        return sum(rpcs for rpcs, _ in self.came.get(proxy, {}).values())
 
     def fresh_at(self, now: int) -> bool:
         since = now - 3 * self.boot.period
@@ -164,7 +159,7 @@
     def able(self, part: dict[int, float]) -> float:
         """What part of the RPCs that come the tasks can answer without being too busy; 1 if not known."""
         does = sum(self.does[i] * p for i, p in part.items())
-        return min(1.0, BUSY * does / max(sum(self.offered()), 1e-9)) if does > 0 else 1.0
+        return min(1.0, BUSY * does / max(sum(map(self.offered, self.came)), 1e-9)) if does > 0 else 1.0
 
     def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
         """Tries a period and how many of them are bad."""
@@ -176,8 +171,8 @@
         return bool(met) and met[len(met) // 4] > JAM
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
-        """What each task can do, against the others: RPCs answered in a busy period, from its listed size.
-        Where no utilisation is told the listed size stands, and latency has to teach the rest."""
+        """What each task can do: RPCs answered in a busy period, from its listed size, which stands where no
+        utilisation is told."""
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
@@ -196,8 +191,7 @@
         return [x * scale for x in found]
 
     def stress(self, zone: int) -> float:
-        """Above 1: a zone's tries end bad or late, which more RPCs would only make worse. Not to be asked
-        while its table's tasks have idle cores: weights and health must mend that."""
+        """Above 1: a zone's tries end bad or late; where cores are idle, weights and health must mend that."""
         tries, bad, slow = (sum(x) for x in zip(*self.met[zone]))
         if tries < PRIOR:
             return 0.0
@@ -207,8 +201,8 @@
         return sum(w * (BUSY - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
-        """A figure per try for each (zone of proxies, task), from little news: with few tries, by what all
-        zones met at the task and by what this zone met in the task's zone; with none, average."""
+        """A figure per try for each (zone of proxies, task): with few tries, by what all zones met at the task
+        and by what this zone met in the task's zone; with none, average."""
         n = {i: sum(row[i] for row in self.tries) for i in tasks}
         sums = {i: sum(row[i] for row in rows) for i in tasks}
         mean = (sum(sums.values()) + PRIOR * start) / (sum(n.values()) + PRIOR)
@@ -228,9 +222,8 @@
 
 
 class Health:
-    """Who lies low: a factor for each (zone of proxies, task), down at once and back step by step. Goes by
-    what a zone's proxies met (a cut shows from one side only), against the middle task of the best zone as
-    they see it: errors, hangs, silence and cuts are met alike; overload, seen at all, cuts nobody."""
+    """Who lies low, by zone of proxies (a cut shows from one side only), against the middle task of the best
+    zone as they see it: errors, hangs and silence are met alike; overload, seen at all, cuts nobody."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.factor: list[list[float]] = [[] for _ in range(boot.zones)]
@@ -247,8 +240,7 @@
             zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
-                # Over half its tries: slow tasks are the solver's business. Cut for less, one after the other
-                # hands its work to the rest until all are in a jam.
+                # Cut for less than half its tries, one after the other hands on its work till all are in a jam.
                 if ratio[i] > base + 0.58:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
@@ -264,8 +256,7 @@
         self.deaf = self.blind = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
-        """From the stated floor up in quarters, at half the stated multiple: most tasks warm up quicker than
-        the slowest that is stated, and chance piles up RPCs."""
+        """From the stated floor up in quarters, at half the stated multiple: chance piles up RPCs."""
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
@@ -273,10 +264,9 @@
         return min(0.99, part)  # 1 is for warm ones alone
 
     def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
-        """Where more than half of all tries are bad tasks are sent far more than they can do, and a cold one
-        gets less by as much. Where proxies keep away after failures in a row they leave nothing else to pick
-        in a jam, whatever its weight: cold tasks are listed there only if their parts could take all tries.
-        News too old to show a jam counts as one."""
+        """Where over half of all tries are bad tasks get more than they can do, and a cold one less by as much.
+        Proxies that keep away after failures leave nothing else to pick in a jam, whatever its weight: cold
+        tasks are listed there only if their parts could take all tries. Old news counts as a jam."""
         self.calm = bad < JAM / 10 * tried
         self.ease = min(1.0, 2 * (1 - bad / (tried + PRIOR)))
         self.deaf = self.deaf - (tried > 0) if fresh else self.blind
@@ -284,39 +274,35 @@
         self.listed = self.boot.outlier_after == 0 or not jam or 0 < tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average, and less where so many
-        are cold that a busy fleet's work would bring them more than their parts."""
+        """A cold task gets at most its part of what a warm one carries on average, or of what is left where so
+        many are cold that a busy fleet's work would bring them more."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
         excess = BUSY * len(lines) - sum(part[i] for i in lines if part[i] < 1.0)
-        even = min(1.0, len(warm) / max(excess, 1e-9)) * sum(warm) / len(warm) if warm else 1e9
+        even = sum(warm) / max(len(warm), excess) if warm else 1e9
         return {i: max(w if part[i] >= 1.0 else part[i] * min(w, even * factor[i]), 1e-4)
                 for i, w in lines.items() if part[i] >= 1.0 or self.listed or not warm}
 
 
 class Solver:
-    """The feedback loop on heard latency: a task's weight goes towards its size x its skill, a tenth of the
-    size at most a step, and counts in other zones' tables by their reach. Skill is learnt for all tables."""
+    """The feedback loop on heard latency: a weight goes towards the task's size x skill, a tenth at most a
+    step, and counts in other zones' tables by their reach."""
 
     def __init__(self, boot: Bootstrap, est: Estimates) -> None:
         self.zones, self.est, self.standing = range(boot.zones), est, boot.initial_set
         self.stride = STEP / boot.assigners
-        # Crossing zones as latency: its price is a part of what an RPC past its soft deadline loses.
-        self.toll = TOLL * boot.cross_zone_price * est.soft
+        self.toll = TOLL * boot.cross_zone_price * est.soft  # crossing zones as latency
         self.skill: list[float] = []
         self.weight: list[float] = []
         self.reach, self.extra = ([[float(a == b and own) for b in self.zones] for a in self.zones]
                                   for own in (True, False))
-        self.unwell = [False for _ in self.zones]  # zones that lost half of their own tasks or more
 
     def restart(self, task: int, hint: list[float]) -> None:
         self.skill.extend([1.0] * (len(hint) - len(self.skill)))
         self.weight.extend(hint[len(self.weight):])
         self.skill[task], self.weight[task] = 1.0, hint[task]
 
-    def costs(self, zone: int, heard: list[float], tasks: list[int], home: list[int]) -> dict[int, float]:
-        """Heard latency and toll, at the margin: what one more RPC adds, the more the busier the task."""
-        load = self.est.load
-        return {i: heard[i] / (1 - load[i]) + (self.toll if home[i] != zone else 0.0) for i in tasks}
+    def cost(self, heard: float, load: float, away: bool) -> float:  # what one more RPC adds, and the toll
+        return heard / (1 - load) + self.toll * away
 
     def step(self, costs: list, size: list[float], kin: list[int]) -> None:
         """The weights of a zone's tasks."""
@@ -324,20 +310,18 @@
         average = sum(self.weight[i] * cost[i] for i in kin) / (sum(self.weight[i] for i in kin) or 1.0)
         for i in kin:
             # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
-            pull = 2 * (average - cost[i]) / average - LEASH * (self.skill[i] - 1)
+            pull = 2 * (average - cost[i]) / average - (self.skill[i] - 1)
             self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
             room = self.stride * size[i]
             self.weight[i] += max(-room, min(room, size[i] * self.skill[i] - self.weight[i]))
 
     def least(self, kin: int, tasks: int) -> float:
-        """What a zone lacks to twice a standing table it borrows from the others at all times: a handful of
-        tasks can't even out bursts. Never nothing, to keep feeling the way."""
+        """What a zone lacks to twice a standing table it borrows at all times: few tasks can't even out bursts."""
         return max(FEEL, min(LEAST_REACH, (2 * self.standing - kin) / max(1, tasks - kin)))
 
     def stretch(self, heard: list, zones: list[list[int]], part: dict[int, float], factor: list,
                 demand: list[float]) -> None:
-        """How far each zone reaches into the others. By whole zones, whose means are calm: one hot task is
-        its skill's business, not the reach's."""
+        """How far each zone reaches into the others, by the means of whole zones, which are calm."""
         mass = [sum(self.weight[i] for i in kin) for kin in zones]
         able = [sum(self.weight[i] * part[i] * row[i] for i in kin) for kin, row in zip(zones, factor)]
 
@@ -346,36 +330,33 @@
         load, met = mean(self.est.load), [mean(row) for row in heard]
         even = self.spill(able, demand, sum(load) / len(load))
         for z, reach in enumerate(self.reach):
-            cost = [c / (1 - busy) + self.toll * (to != z) for to, (c, busy) in enumerate(zip(met[z], load))]
+            cost = [self.cost(met[z][to], load[to], to != z) for to in self.zones]
             told_of, least = sum(self.est.tries[z]) >= PRIOR, self.least(len(zones[z]), len(part))
-            self.unwell[z] = able[z] < mass[z] / 2 or not zones[z]
             for to in self.zones:
                 if to != z and mass[to] > 0:
                     pull = (cost[z] - cost[to]) / max(cost[z], cost[to]) * told_of if mass[z] > 0 else 1.0
                     self.extra[z][to] = max(0.0, min(1.0, self.extra[z][to] + pull * self.stride))
-                    # What the way there costs shows against what that zone's own proxies meet.
+                    # The way there costs what that zone's own proxies don't meet.
                     way = max(0.0, 1 - 2 * max(0.0, met[z][to] - met[to][to]) / self.est.soft)
                     aim = max(FEEL, (max(least, even[z][to]) + self.extra[z][to]) * way)
-                    reach[to] = min(aim, 1.0 if self.unwell[z] or not reach[to] else reach[to] + STEP)
+                    reach[to] = min(aim, reach[to] + STEP if reach[to] and able[z] > mass[z] / 2 else 1.0)
 
     def spill(self, able: list[float], demand: list[float], load: float) -> list[list[float]]:
-        """How far each zone has to reach into the others for all to be about as busy, from what comes to it
-        and what its tasks can do. A zone that nothing is known of is offered nothing."""
+        """The reach that makes all about as busy, from what comes and what tasks can do."""
         mean = sum(demand) / (sum(able) or 1.0) * max(1.1, 0.75 * BUSY / load if load > 0 else 0.0)
         need = [d / (mean or 1.0) for d in demand]
         spare = [max(0.0, a - n) * (n > 0) for a, n in zip(able, need)]
         over = [max(0.0, n - a) for a, n in zip(able, need)]
-        part = min(1.0, sum(over) / (sum(spare) or 1.0)) / (sum(over) or 1.0)
+        part = 1 / (max(sum(over), sum(spare)) or 1.0)
         return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
 
     def weights(self, zone: int, zones: list[list[int]]) -> dict[int, float]:
-        """All of its own tasks, and of each other zone's as many as give lines worth their place in the
-        channel, each zone taking others: lines that hardly count cost as much as those that do."""
+        """All of its own tasks, and so many of each other zone that a line is worth its place in the channel."""
         lines = {}
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
             start = zone * len(kin) // len(zones)
-            some = (kin[start:] + kin[:start])[:max(self.standing, round(len(kin) * reach / WORTH))]
+            some = (kin[start:] + kin[:start])[:max(1, self.standing, round(len(kin) * reach / WORTH))]
             lines.update((i, self.weight[i] * reach * len(kin) / len(some)) for i in some)
         return lines
 
@@ -401,15 +382,14 @@
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
         # Till a cut has travelled, tries let in before it have run out, and sums have come.
         self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)
-        # The table of methods: a row each, whether it gives way to others.
-        self.even = min(1.0, 3 * boot.worst_method_goal)
+        # The table of methods: which give way to others where nothing can be pushed back.
         most = max(m.criticality for m in boot.methods)
-        self.gives_way = [m.criticality < most for m in boot.methods]
-        self.lean = sum(1 << k for k, low in enumerate(self.gives_way) if low and self.off)
+        self.methods = {k: self.off and m.criticality < most for k, m in enumerate(boot.methods)}
+        self.lean = sum(1 << k for k, gives_way in self.methods.items() if gives_way)
 
     def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
-        """Down at once to what the fleet is able to do of what comes, where its cores are busy; further in
-        a jam, which must drain, but not again before that can show. Up to that quickly, past it with care."""
+        """Down at once to what the fleet is able to do, where its cores are busy; further in a jam, but not
+        again before that can show. Up to that quickly, past it with care."""
         level = self.open[zone]
         if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
             level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
@@ -418,35 +398,28 @@
             level = min(level + 0.15 * (stress < 1.0), able) if level < able or busy else level + 0.03
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
-    def wanted(self, zone: int, calm: bool, offered: list[float]) -> dict[int, tuple[float, int]]:
-        """As far as much must go, lower criticality gives way first, less so where the goals ask for the
-        worst method. Further tries, however safe, feed a jam and pile up on whoever has room."""
-        level = self.open[zone]
-        lean = sum(came for came, low in zip(offered, self.gives_way) if low) / (sum(offered) or 1.0)
-        top, even = min(1.0, level / max(1 - lean, 1e-9)), max(self.even, level)
-        first = {False: top, True: (level - (1 - lean) * top) / max(lean, 1e-9)}
-        part = {low: max(1, round(20 * (even * level + (1 - even) * x))) / 20 for low, x in first.items()}
-        return {k: (part[low], ON_PROOF if calm else 0) for k, low in enumerate(self.gives_way)}
+    def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
+        """All methods alike. Further tries, however safe, feed a jam and pile up on whoever has room."""
+        part = max(1, round(20 * self.open[zone])) / 20
+        return dict.fromkeys(self.methods, (part, ON_PROOF if calm else 0))
 
 
 class Outbox:
-    """What may leave, within the lines that may wait and the messages a proxy may get. What waits goes by
-    proof, not by an assumed pace: messages leave in order, so a receipt from any proxy shows that all sent
-    before has left. A stalled proxy's late receipt proves less, never more."""
+    """What may leave, within the lines that may wait and the messages a proxy may get. Messages leave in
+    order: a receipt from any proxy proves that all sent before has left."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
         self.sent = self.left = 0.0  # lines ever sent, and proven to have left
         self.at = self.heard = self.mark = 0
-        # What may wait for all that can wait too: a drain ordered behind it is still in time.
+        # So far may what can wait fill the channel: a drain ordered behind it is still in time.
         in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
         self.usual = min(boot.most_waiting / 2, in_time)
         self.marks: dict[int, float] = {}  # lines sent before each mark's reply
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
-        """A channel that slows twice at once sends far less than stated, so no pace is believed in unless
-        no receipt has come for so long that those written to must be lost."""
+        """No pace is believed in (a channel may slow twice at once) unless all written to must be lost."""
         if now - self.heard > 4 * (self.boot.worst_transit + self.boot.period):
             self.left = min(self.sent, self.left + self.boot.lines_per_s / 8 * (now - self.at) / 1e6)
         self.at = now
@@ -454,8 +427,8 @@
     def receipt(self, now: int, receipt: Receipt) -> None:
         self.left, self.heard = max(self.left, self.marks.get(receipt.mark, 0.0)), now
 
-    def held(self) -> bool:  # what can wait is held while half the backlog waits
-        return self.sent - self.left >= self.usual
+    def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
+        return self.sent - self.left >= times * self.usual
 
     def spare(self, now: int, proxies: list[int], urgent: bool) -> int:
         """Lines that a message to each may hold, within the channel's and the proxies' limits."""
@@ -515,8 +488,8 @@
             self.joining = [due for due in self.joining if due[0] != proxy]
 
     def part_methods(self, jam: bool, lean: int, tried: float, bad: float) -> None:
-        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks: the
-        rest come free of RPCs that run out of time. All are together again once the rest do well."""
+        """In a lasting jam that no level can thin out, methods of less criticality are left a few tasks, till
+        the rest do well."""
         self.strain = max(0, min(4, self.strain + (1 if jam else -1)))
         over = not self.strain or bad < JAM / 5 * tried
         if lean and (over if self.parted else self.strain >= 2):
@@ -526,11 +499,11 @@
 
     def attach(self, now: int, box: Outbox, since: dict[int, int]) -> list[Order]:
         orders = []
-        # Proxies without a table first, whatever waits once they have waited: what they hold may be gone.
+        # Proxies without a table first, and past all that waits in time: what they hold may be gone.
         for proxy, table, methods in sorted(self.joining, key=lambda due: due[2] > 0):
             size = len(self.lines[table]) + 1 + len(self.levels[table])
             due = not methods and now - since[proxy] > box.boot.drain_grace / 4
-            if self.lines[table] and (due or not box.held()) and box.spare(now, [proxy], True) >= size:
+            if self.lines[table] and not box.held(1 + due) and box.spare(now, [proxy], True) >= size:
                 orders.append(Attach(proxy, table, methods))
                 self.joining.remove((proxy, table, methods))
                 self.bound[table] += [proxy] * (proxy not in self.bound[table])
@@ -612,11 +585,11 @@
         tables.part_methods(4 * len(warm) > len(tasks) and est.everywhere(warm), self.levels.lean, *rest)
         size = est.sizes(self.roster.hint, tasks, warm)
         est.age(now)
-        costs = [self.solver.costs(z, heard[z], tasks, home) for z in est.zones]
+        costs = [{i: self.solver.cost(row[i], est.load[i], home[i] != z) for i in tasks}
+                 for z, row in enumerate(heard)]
         demand = [0.0] * self.boot.zones
         for proxy, zone in tables.zone.items():
-            came = sum(rpcs for rpcs, _ in est.came.get(proxy, {}).values())
-            demand[zone] += came or tables.rate[proxy] * self.boot.period / 1e6
+            demand[zone] += est.offered(proxy) or tables.rate[proxy] * self.boot.period / 1e6
         zones = self.roster.by_zone()
         for kin in zones:
             self.solver.step(costs, size, kin)
@@ -644,8 +617,7 @@
         factor = self.health.factor[table]
         lines = self.solver.weights(table, self.roster.by_zone())
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
-        # A zone that loses its own tasks leans on the others at once.
-        caps = {i: factor[i] * part[i] + 2 * (i in sinks) + 4 * self.solver.unwell[table] for i in lines}
+        caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
         return self.ramp.hold(lines, part, factor), caps
 
     def publish(self, now: int, push: bool) -> list[Order]:
@@ -663,22 +635,26 @@
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             floor = STEP * sum(lines.values()) / max(len(lines), 1)
             away = [i for i in before if i not in lines]
-            gone = sorted((i for i in away if i in cold or i not in ready), key=lambda i: (i in cold, i))
+            # What can't wait: closed tasks, and such as started again while they were listed as warm.
+            gone = [i for i in before if i not in ready or i in cold and cap_before[i] >= 1.0]
             if gone and wait and len(gone) < len(before):
                 self.owed = True
                 continue
-            # New tasks and moved caps go out beside the gate: the ramp and health are not its business. Warm
-            # tasks that leave the table wait like the rest, and while others stay.
+            # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
             if not lines or any(i in before for i in lines):
-                moved += [i for i in away if i not in gone]
-            wanted = self.levels.wanted(table, self.ramp.calm, self.est.offered())
+                moved += [i for i in away if i in ready and i not in cold]
+            moved = [i for i in moved if i not in gone]
+            wanted = self.levels.wanted(table, self.ramp.calm)
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
-            # Removals first; of what can wait, as much as there is room for, the largest moves first; and
-            # removals that take a table's last lines out bring others along.
+            # Removals first, but a table's last lines with others; then the largest moves there is room for.
             room = box.spare(now, proxies, True)
-            spare = 0 if proxies and crowd else box.spare(now, proxies, False) - len(gone)
+            free = max(0, box.spare(now, proxies, False) - len(gone))
+            unlisted = [i for i in away if i in cold and i not in gone]  # first of all that can wait
+            self.owed = self.owed or len(unlisted) > free
+            gone += unlisted[:free]
+            spare = 0 if proxies and crowd else free - len(unlisted)
             levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (-abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
