--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -5,18 +5,16 @@
 Each part decides one thing: Roster (what is listed, when to ask), Estimates (what is heard), Health (who
 lies low), Ramp (what cold tasks may get), Solver (better weights), Gate (when they are worth a push),
 Levels (what is let in), Tables (what each table holds and who uses it), Outbox (what leaves, and when).
-docs/design.md gives the reasons.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, OfferedLoad, Order,
-    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, OfferedLoad, Order, PutLine,
+    Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -38,8 +36,6 @@
 
 
 class Roster:
-    """Which tasks are listed, when they last started, and when the list is asked for."""
-
     def __init__(self, boot: Bootstrap, rng: Random) -> None:
         self.boot, self.chance = boot, rng.random
         self.state: list[int] = []
@@ -57,8 +53,7 @@
                 self.ask_at = now + round(wait * (0.5 + self.chance()))
             return []
         if change.kind != ListKind.CACHED:
-            # The watch holds; renew it long before silence could mean that it was lost unheard.
-            self.failures = 0
+            self.failures = 0  # the watch holds; renew it before silence could mean that it was lost
             self.ask_at = now + self.boot.ask_within if self.boot.subscribe else None
         more = max([entry.task + 1 for entry in change.entries], default=0) - len(self.state)
         for row, start in ((self.state, TaskState.GONE), (self.zone, 0), (self.hint, 1.0), (self.started, 0)):
@@ -91,16 +86,13 @@
 
 
 class Estimates:
-    """What the proxies of each zone met at each task, what tasks can do, and how busy they are."""
-
     def __init__(self, boot: Bootstrap) -> None:
         self.boot, self.zones = boot, range(boot.zones)
         total = sum(m.criticality for m in boot.methods) or 1.0
         self.soft = sum(m.soft_deadline * m.criticality for m in boot.methods) / total
         self.abort_cost = sum(m.deadline * m.criticality for m in boot.methods) / total
         self.tries, self.bad, self.cost = ([[] for _ in self.zones] for _ in range(3))
-        # Utilisation just heard (-1 once used), and smoothed; RPCs answered while warm, the busy periods they
-        # took, and what that makes in one.
+        # Utilisation just heard (-1 once used), smoothed; answers and busy periods while warm, their ratio.
         self.util: list[float] = []
         self.load, self.served, self.busy, self.does = ([] for _ in range(4))
         # News comes in parts. By zone of proxies and task: tries, bad ones and good latency a period as last
@@ -112,11 +104,10 @@
     def grow(self, tasks: int) -> None:
         more = tasks - len(self.util)
         self.util.extend([-1.0] * more)
-        for met, till in zip(self.met, self.till):
-            met.extend([(0.0, 0.0, 0.0)] * more)
-            till.extend([0] * more)
-        for row in self.rows():
-            row.extend([0.0] * more)
+        for row in self.met:
+            row.extend([(0.0, 0.0, 0.0)] * more)
+        for row in self.till + self.rows():
+            row.extend([0] * more)
 
     def rows(self) -> list[list[float]]:
         return [self.load, self.served, self.busy, self.does, *self.tries, *self.bad, *self.cost]
@@ -146,9 +137,8 @@
     def offered(self, proxy: int) -> float:
         return sum(rpcs for rpcs, _ in self.came.get(proxy, {}).values())
 
-    def fresh_at(self, now: int) -> bool:
-        since = now - 3 * self.boot.period
-        return any(upto > since for rows in self.came.values() for _, upto in rows.values())
+    def newest(self) -> int:
+        return max((upto for rows in self.came.values() for _, upto in rows.values()), default=0)
 
     def age(self, now: int) -> None:
         for row in (*self.tries, *self.bad, *self.cost):
@@ -161,8 +151,7 @@
         does = sum(self.does[i] * p for i, p in part.items())
         return min(1.0, BUSY * does / max(sum(map(self.offered, self.came)), 1e-9)) if does > 0 else 1.0
 
-    def failing(self, tasks: Iterable[int]) -> tuple[float, float]:
-        """Tries a period and how many of them are bad."""
+    def failing(self, tasks: list[int] | set[int]) -> tuple[float, float]:
         return tuple(sum(met[i][k] for met in self.met for i in tasks) for k in (0, 1))
 
     def everywhere(self, tasks: list[int]) -> bool:
@@ -171,8 +160,7 @@
         return bool(met) and met[len(met) // 4] > JAM
 
     def sizes(self, hint: list[float], tasks: list[int], warm: list[int]) -> list[float]:
-        """What each task can do: RPCs answered in a busy period, from its listed size, which stands where no
-        utilisation is told."""
+        """What each task can do: RPCs answered in a busy period, from its listed size."""
         for i in tasks:
             if self.util[i] >= 0.0:
                 self.load[i] += (min(self.util[i], 0.95) - self.load[i]) / 2
@@ -191,7 +179,7 @@
         return [x * scale for x in found]
 
     def stress(self, zone: int) -> float:
-        """Above 1: a zone's tries end bad or late; where cores are idle, weights and health must mend that."""
+        """Above 1: a zone's tries end bad or late. Where cores are idle weights and health must mend that."""
         tries, bad, slow = (sum(x) for x in zip(*self.met[zone]))
         if tries < PRIOR:
             return 0.0
@@ -201,8 +189,8 @@
         return sum(w * (BUSY - self.util[i]) for i, w in lines.items() if self.util[i] >= 0.0) > 0
 
     def spread(self, rows: list, start: float, tasks: list[int], home: list[int]) -> list[list[float]]:
-        """A figure per try for each (zone of proxies, task): with few tries, by what all zones met at the task
-        and by what this zone met in the task's zone; with none, average."""
+        """A figure per try by zone of proxies and task. With few tries by what all zones met at the task and
+        what this zone met in the task's zone; with none, average."""
         n = {i: sum(row[i] for row in self.tries) for i in tasks}
         sums = {i: sum(row[i] for row in rows) for i in tasks}
         mean = (sum(sums.values()) + PRIOR * start) / (sum(n.values()) + PRIOR)
@@ -222,8 +210,8 @@
 
 
 class Health:
-    """Who lies low, by zone of proxies (a cut shows from one side only), against the middle task of the best
-    zone as they see it: errors, hangs and silence are met alike; overload, seen at all, cuts nobody."""
+    """Who lies low, by zone of proxies (a cut shows from one side only), against the best zone's middle task:
+    errors, hangs and silence are met alike; overload, seen at all, cuts nobody."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.factor: list[list[float]] = [[] for _ in range(boot.zones)]
@@ -240,7 +228,7 @@
             zones = [sorted(ratio[i] for i in tasks if home[i] == there) for there in est.zones]
             base = min(ranked[len(ranked) // 2] for ranked in zones if ranked)
             for i in tasks:
-                # Cut for less than half its tries, one after the other hands on its work till all are in a jam.
+                # Cut for less, one after the other hands on its work till all are in a jam.
                 if ratio[i] > base + 0.58:
                     factor[i] = max(TRICKLE, factor[i] * 0.25)
                 elif factor[i] < 1.0:
@@ -248,11 +236,9 @@
 
 
 class Ramp:
-    """What cold tasks may get from all proxies together, by the time since their start."""
-
     def __init__(self, boot: Bootstrap) -> None:
         self.boot, self.calm, self.listed, self.ease = boot, False, boot.outlier_after == 0, 1.0
-        # Periods of news till tries have run out of time that were sent while there was none.
+        # Periods of news till tries sent while there was none have run out of time.
         self.deaf = self.blind = 2 + max(m.deadline for m in boot.methods) / boot.period
 
     def part(self, now: int, started: int) -> float:
@@ -260,13 +246,12 @@
         if started <= 0 or now - started >= self.boot.warm_up:
             return 1.0
         part = self.boot.cold_from + (1 - self.boot.cold_from) * max(0, now - started) / self.boot.warm_up
-        part = max(0.5, int(2 * part * self.ease * self.boot.fall_multiple)) / 4
-        return min(0.99, part)  # 1 is for warm ones alone
+        return min(0.99, max(0.5, int(2 * part * self.ease * self.boot.fall_multiple)) / 4)
 
     def judge(self, tried: float, bad: float, cold: float, fresh: bool) -> None:
-        """Where over half of all tries are bad tasks get more than they can do, and a cold one less by as much.
-        Proxies that keep away after failures leave nothing else to pick in a jam, whatever its weight: cold
-        tasks are listed there only if their parts could take all tries. Old news counts as a jam."""
+        """Where over half of all tries are bad a cold task gets less by as much. Proxies that keep away after
+        failures leave nothing else to pick in a jam, whatever its weight: cold tasks are listed there only
+        if their parts could take all tries. Old news counts as a jam."""
         self.calm = bad < JAM / 10 * tried
         self.ease = min(1.0, 2 * (1 - bad / (tried + PRIOR)))
         self.deaf = self.deaf - (tried > 0) if fresh else self.blind
@@ -274,8 +259,7 @@
         self.listed = self.boot.outlier_after == 0 or not jam or 0 < tried < cold
 
     def hold(self, lines: dict[int, float], part: dict[int, float], factor: list[float]) -> dict[int, float]:
-        """A cold task gets at most its part of what a warm one carries on average, or of what is left where so
-        many are cold that a busy fleet's work would bring them more."""
+        """A cold task gets at most its part of what a warm one carries on average, less if most are cold."""
         warm = [w for i, w in lines.items() if part[i] >= 1.0]
         excess = BUSY * len(lines) - sum(part[i] for i in lines if part[i] < 1.0)
         even = sum(warm) / max(len(warm), excess) if warm else 1e9
@@ -305,7 +289,6 @@
         return heard / (1 - load) + self.toll * away
 
     def step(self, costs: list, size: list[float], kin: list[int]) -> None:
-        """The weights of a zone's tasks."""
         cost = {i: sum(row[i] for row in costs) for i in kin}
         average = sum(self.weight[i] * cost[i] for i in kin) / (sum(self.weight[i] for i in kin) or 1.0)
         for i in kin:
@@ -316,7 +299,7 @@
             self.weight[i] += max(-room, min(room, size[i] * self.skill[i] - self.weight[i]))
 
     def least(self, kin: int, tasks: int) -> float:
-        """What a zone lacks to twice a standing table it borrows at all times: few tasks can't even out bursts."""
+        """What a zone lacks to twice a standing table it borrows: few tasks can't even out bursts."""
         return max(FEEL, min(LEAST_REACH, (2 * self.standing - kin) / max(1, tasks - kin)))
 
     def stretch(self, heard: list, zones: list[list[int]], part: dict[int, float], factor: list,
@@ -336,7 +319,6 @@
                 if to != z and mass[to] > 0:
                     pull = (cost[z] - cost[to]) / max(cost[z], cost[to]) * told_of if mass[z] > 0 else 1.0
                     self.extra[z][to] = max(0.0, min(1.0, self.extra[z][to] + pull * self.stride))
-                    # The way there costs what that zone's own proxies don't meet.
                     way = max(0.0, 1 - 2 * max(0.0, met[z][to] - met[to][to]) / self.est.soft)
                     aim = max(FEEL, (max(least, even[z][to]) + self.extra[z][to]) * way)
                     reach[to] = min(aim, reach[to] + STEP if reach[to] and able[z] > mass[z] / 2 else 1.0)
@@ -351,7 +333,7 @@
         return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
 
     def weights(self, zone: int, zones: list[list[int]]) -> dict[int, float]:
-        """All of its own tasks, and so many of each other zone that a line is worth its place in the channel."""
+        """All of its own tasks, and so many of each other zone that a line is worth its place."""
         lines = {}
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
@@ -375,27 +357,24 @@
 
 
 class Levels:
-    """What part of the RPCs each table lets in, how proxies may try again, and which methods give way."""
-
     def __init__(self, boot: Bootstrap) -> None:
         self.off = boot.admission == Admission.OFF
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
-        # Till a cut has travelled, tries let in before it have run out, and sums have come.
-        self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)
-        # The table of methods: which give way to others where nothing can be pushed back.
+        self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)  # till a cut can show
         most = max(m.criticality for m in boot.methods)
+        # The table of methods: which give way to others where nothing can be pushed back.
         self.methods = {k: self.off and m.criticality < most for k, m in enumerate(boot.methods)}
         self.lean = sum(1 << k for k, gives_way in self.methods.items() if gives_way)
 
     def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
-        """Down at once to what the fleet is able to do, where its cores are busy; further in a jam, but not
-        again before that can show. Up to that quickly, past it with care."""
-        level = self.open[zone]
-        if stress > 1.0 and now >= self.cut_at[zone] + self.lag:
+        """Down to what the fleet is able to do while it is busy; further in a jam, but not again before that
+        can show. Up to that quickly, past it with care."""
+        level, well = self.open[zone], not busy or stress < 1.0
+        if not well and stress > 1.0 and now >= self.cut_at[zone] + self.lag:
             level = min(level, able) * (1 - 0.5 * min(1.0, (stress - 1.0) / 2))
             self.cut_at[zone] = now
-        elif stress < 1.0 or busy:
-            level = min(level + 0.15 * (stress < 1.0), able) if level < able or busy else level + 0.03
+        else:
+            level = min(level + 0.15 * well, able) if level < able or busy else level + 0.03
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
     def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
@@ -406,7 +385,7 @@
 
 class Outbox:
     """What may leave, within the lines that may wait and the messages a proxy may get. Messages leave in
-    order: a receipt from any proxy proves that all sent before has left."""
+    order: a receipt from any proxy proves that all sent before has left. No pace is believed in."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
@@ -419,8 +398,7 @@
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
-        """No pace is believed in (a channel may slow twice at once) unless all written to must be lost."""
-        if now - self.heard > 4 * (self.boot.worst_transit + self.boot.period):
+        if now - self.heard > 4 * (self.boot.worst_transit + self.boot.period):  # all written to must be lost
             self.left = min(self.sent, self.left + self.boot.lines_per_s / 8 * (now - self.at) / 1e6)
         self.at = now
 
@@ -431,7 +409,6 @@
         return self.sent - self.left >= times * self.usual
 
     def spare(self, now: int, proxies: list[int], urgent: bool) -> int:
-        """Lines that a message to each may hold, within the channel's and the proxies' limits."""
         if not proxies:
             return 1 << 30
         since = now - self.boot.counted_over - self.boot.worst_transit
@@ -451,7 +428,6 @@
             self.written.setdefault(proxy, deque()).append(now)
 
     def stamp(self, already: float) -> list[Order]:
-        """A mark for this reply's messages, if there are any."""
         if self.sent <= already:
             return []
         self.mark = (self.mark + 1) % 65536
@@ -475,7 +451,6 @@
         self.strain, self.parted = 0, False
 
     def join(self, event: Joined, lean: int) -> None:
-        self.leave(event.proxy)
         self.zone[event.proxy] = event.zone
         self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
         self.joining.append((event.proxy, event.zone, 0))
@@ -514,8 +489,6 @@
 
 
 class Assigner:
-    """One instance. `decide` takes what happened and returns what is to be done."""
-
     def __init__(self, boot: Bootstrap, seed: int) -> None:
         self.boot = boot
         self.roster, self.est, self.health = Roster(boot, Random(seed)), Estimates(boot), Health(boot)
@@ -535,16 +508,14 @@
                 self.listen(now, event)
             elif isinstance(event, Receipt):
                 self.outbox.receipt(now, event)
-            elif isinstance(event, Joined) and event.zone < self.boot.zones:
-                self.tables.join(event, self.levels.lean)
-                self.est.since[event.proxy] = now
-                self.est.came.pop(event.proxy, None)
-            elif isinstance(event, Left):
+            elif isinstance(event, (Joined, Left)):
                 self.tables.leave(event.proxy)
                 self.est.came.pop(event.proxy, None)
+                if isinstance(event, Joined) and event.zone < self.boot.zones:
+                    self.tables.join(event, self.levels.lean)
+                    self.est.since[event.proxy] = now
         if self.boot.partitions:  # key slices are not decided yet
             return []
-        # A period is worked as its reports come; the timer stands in for reports that stay away.
         period = now >= self.next_period - self.boot.period * (TrafficReport in kinds)
         push = period and self.improve(now)
         orders = self.roster.calls(now)
@@ -566,7 +537,6 @@
             self.solver.restart(task, self.roster.hint)
 
     def improve(self, now: int) -> bool:
-        """One report period: judge, step, and ask the gate."""
         est, home, tables, tasks = self.est, self.roster.zone, self.tables, self.roster.open()
         self.next_period = now + self.boot.period * 3 // 2
         if not tasks:
@@ -576,10 +546,9 @@
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         able = est.able({i: p * max(row[i] for row in self.health.factor) for i, p in part.items()})
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
-        self.ramp.judge(*est.failing(tasks), cold, est.fresh_at(now))
+        self.ramp.judge(*est.failing(tasks), cold, now - est.newest() < 3 * self.boot.period)
         for zone in est.zones:
-            busy = not est.idle(tables.lines[zone])
-            self.levels.move(now, zone, est.stress(zone) if busy else 0.0, able, busy)
+            self.levels.move(now, zone, est.stress(zone), able, not est.idle(tables.lines[zone]))
         rest = est.failing(set(tasks) - set(tables.lines[tables.excess]))
         warm = [i for i in tasks if part[i] >= 1.0]
         tables.part_methods(4 * len(warm) > len(tasks) and est.everywhere(warm), self.levels.lean, *rest)
@@ -605,11 +574,9 @@
         return self.gate.decide(published, current, self.outbox.held())
 
     def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
-        """The lines a table should hold, and the cap each is held under."""
         tables, sinks = self.tables, []
         part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         if tables.parted or tables.bound[tables.excess]:
-            # The slowest of the warm tasks are left to the methods that give way.
             able = [(self.solver.weight[i], i) for i in tasks if part[i] >= 1.0]
             sinks = [i for _, i in sorted(able)[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
@@ -633,7 +600,6 @@
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
-            floor = STEP * sum(lines.values()) / max(len(lines), 1)
             away = [i for i in before if i not in lines]
             # What can't wait: closed tasks, and such as started again while they were listed as warm.
             gone = [i for i in before if i not in ready or i in cold and cap_before[i] >= 1.0]
@@ -642,7 +608,7 @@
                 continue
             # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
-                     or push and abs(lines[i] - before[i]) > STEP * max(before[i], floor)]
+                     or push and abs(lines[i] - before[i]) > STEP * before[i]]
             if not lines or any(i in before for i in lines):
                 moved += [i for i in away if i in ready and i not in cold]
             moved = [i for i in moved if i not in gone]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -358,3 +358,48 @@
     assert est.failing([0, 1]) == (20.0, 10.0) and [est.offered(p) for p in (0, 1, 2)] == [4.0, 4.0, 0.0]
     est.age(now + 5 * SECOND)
     assert est.failing([0, 1]) == (0.0, 0.0)
+
+
+def test_a_task_that_starts_again_under_its_id_gets_its_cold_line_though_the_channel_is_full():
+    rig = Rig(outlier_after=0)
+    usual, box = rig.share(0, 2), rig.assigner.outbox
+    box.book(rig.now, [0], int(box.usual))  # what can wait is held
+    rig.feed(roster([entry(2, started_at=rig.now)], api.ListKind.DELTA), after=1)
+    rig.feed(api.Woke(0), after=1)
+    assert rig.share(0, 2) <= rig.boot.fall_multiple / 2 * rig.boot.cold_from * usual
+
+
+def test_what_can_wait_never_delays_a_drain_past_half_its_grace_and_joins_not_past_it():
+    rig = Rig(tasks=60, proxies=20, lines_per_s=200.0, most_waiting=2000.0)
+    box = rig.assigner.outbox
+    in_time = 200 * (rig.boot.drain_grace - rig.boot.worst_transit) / SECOND
+    assert box.usual == in_time / 2 and box.sent - box.left <= in_time / 2 + 80
+    for _ in range(8):
+        rig.feed(api.Woke(0), after=0.2)
+        assert box.sent - box.left <= in_time + 80
+    assert 0 < len(rig.assigner.tables.joining) < 20
+
+
+def test_zones_reach_as_their_demand_needs_and_not_over_a_way_that_costs():
+    rig = Rig(tasks=24, proxies=2)
+    reach = rig.assigner.solver.reach
+
+    def step(way):
+        rig.period(*[rig.met(z, i, latency=0.1 + way * (i % 2 != z)) for z in (0, 1) for i in range(24)],
+                   *[api.OfferedLoad(90 if p == 0 else 10, SECOND, p, 0, 0) for p in (0, 1)])
+    for _ in range(8):
+        step(0.0)
+    assert reach[0][1] > 0.5 and reach[1][0] < 0.05
+    for _ in range(10):
+        step(0.6)
+    assert reach[0][1] < 0.05
+    far = [i for i in rig.tables[0] if i % 2]
+    assert len(far) == rig.boot.initial_set  # felt by a standing table's worth of lines
+
+
+def test_methods_part_in_a_jam_only_not_for_some_sick_tasks():
+    est = Estimates(bootstrap())
+    est.grow(8)
+    for task in range(8):
+        est.hear(START, api.TrafficReport(0, task, 20, 0 if task < 3 else 16, 1000, SECOND, ()))
+    assert not est.everywhere(range(8)) and est.everywhere(range(3, 8))
