--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -588,7 +588,6 @@
         return self.ramp.hold(lines, part, factor), caps
 
     def publish(self, now: int, push: bool) -> list[Order]:
-        """Lines that rules call for first, then levels, caps and what the gate let through, then joins."""
         box, tables, tasks = self.outbox, self.tables, self.roster.open()
         ready = set(tasks)
         cold = {i for i in tasks if self.ramp.part(now, self.roster.started[i]) < 1.0}
@@ -601,6 +600,7 @@
             lines, caps = self.wanted(now, table, tasks)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             away = [i for i in before if i not in lines]
+            small = STEP * sum(lines.values()) / max(len(lines), 1)  # moves of smaller lines hardly count
             # What can't wait: closed tasks, and such as started again while they were listed as warm.
             gone = [i for i in before if i not in ready or i in cold and cap_before[i] >= 1.0]
             if gone and wait and len(gone) < len(before):
@@ -608,7 +608,7 @@
                 continue
             # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
-                     or push and abs(lines[i] - before[i]) > STEP * before[i]]
+                     or push and abs(lines[i] - before[i]) > STEP * max(before[i], small)]
             if not lines or any(i in before for i in lines):
                 moved += [i for i in away if i in ready and i not in cold]
             moved = [i for i in moved if i not in gone]
