--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -403,3 +403,24 @@
     for task in range(8):
         est.hear(START, api.TrafficReport(0, task, 20, 0 if task < 3 else 16, 1000, SECOND, ()))
     assert not est.everywhere(range(8)) and est.everywhere(range(3, 8))
+
+
+@pytest.mark.parametrize("admission", list(api.Admission))
+def test_a_large_fleet_keeps_within_its_limits_through_crash_wave_and_bad_news(admission):
+    rig = Rig(tasks=0, proxies=0, most_waiting=3000.0, messages_most=30, lines_per_s=1000.0, outlier_after=0,
+              admission=admission)
+    box, tables = rig.assigner.outbox, rig.assigner.tables
+    rig.feed(roster([entry(i) for i in range(100)]), after=0.1)
+    joins = [api.Joined(5.0, False, p, p % 2) for p in range(160)]
+    for k in range(12):
+        news = [rig.met(z, i, bad=i % 11)._replace(over=(k % 4) * SECOND, load=(k / 6, float("inf")))
+                for z in (0, 1) for i in range(0, 300, 7)]
+        rig.period(*joins[:80 + 80 * (k > 3)], *news, receipts=k % 3 > 0)  # joined again and again
+        if k == 5:  # threefold at once, most of it cold, some of it started twice
+            rig.feed(*[roster([entry(i, started_at=rig.now + s) for i in range(40, 300)], api.ListKind.DELTA)
+                       for s in (0, 1)], after=0.2)
+        if k == 8:
+            rig.feed(roster([entry(0)]), api.Left(3), api.Left(3), after=0.2)  # emptied to one
+        assert box.sent - box.left <= 3000
+        assert all(len(times) <= 30 for times in box.written.values())
+    assert all(tables.lines[z] == {0: rig.tables[z][0]} for z in (0, 1))
