--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -338,7 +338,7 @@
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
             start = zone * len(kin) // len(zones)
-            some = (kin[start:] + kin[:start])[:max(2, round(len(kin) * reach / WORTH))]
+            some = (kin[start:] + kin[:start])[:max(1, self.standing, round(len(kin) * reach / WORTH))]
             lines.update((i, self.weight[i] * reach * len(kin) / len(some)) for i in some)
         return lines
 
