--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -294,7 +294,7 @@
         for i in kin:
             # A leash keeps it near 1: equal latency, chased all the way, piles work on the quickest.
             pull = 2 * (average - cost[i]) / average - (self.skill[i] - 1)
-            self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 5
+            self.skill[i] *= 1 + max(-1.0, min(1.0, pull)) * self.stride / 3
             room = self.stride * size[i]
             self.weight[i] += max(-room, min(room, size[i] * self.skill[i] - self.weight[i]))
 
