--- a/hollyridge/benchlink/conf.py
+++ b/hollyridge/benchlink/conf.py
@@ -106,5 +106,4 @@
         one_owner=text.flag(family + "one_owner"),
         load_names=tuple(text.names("report.names")),
         cross_zone_price=text.number("tariffs.cross_zone", 0.0),
-        worst_method_goal=text.number("goal.worst_class", 0.0),
     )
--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -93,7 +93,6 @@
     one_owner: bool
     load_names: tuple[str, ...]
     cross_zone_price: float
-    worst_method_goal: float
 
 
 class Listed(NamedTuple):
