--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -76,7 +76,8 @@
         return [i for i, state in enumerate(self.state) if state == TaskState.READY]
 
     def by_zone(self) -> list[list[int]]:
-        return [[i for i in self.open() if self.zone[i] == zone] for zone in range(self.boot.zones)]
+        tasks = self.open()
+        return [[i for i in tasks if self.zone[i] == zone] for zone in range(self.boot.zones)]
 
     def calls(self, now: int) -> list[Order]:
         if self.ask_at is None or now < self.ask_at:
@@ -543,7 +544,7 @@
             return self.gate.decide(0.0, 0.0, True)
         self.health.judge(est, tasks, home)
         heard = est.spread(est.cost, est.soft / 2, tasks, home)
-        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
+        part, zones = self.parts(now), self.roster.by_zone()
         able = est.able({i: p * max(row[i] for row in self.health.factor) for i, p in part.items()})
         cold = sum(p * est.does[i] for i, p in part.items() if p < 1.0)
         self.ramp.judge(*est.failing(tasks), cold, now - est.newest() < 3 * self.boot.period)
@@ -559,13 +560,12 @@
         demand = [0.0] * self.boot.zones
         for proxy, zone in tables.zone.items():
             demand[zone] += est.offered(proxy) or tables.rate[proxy] * self.boot.period / 1e6
-        zones = self.roster.by_zone()
         for kin in zones:
             self.solver.step(costs, size, kin)
         self.solver.stretch(heard, zones, part, self.health.factor, demand)
-        published = current = 0.0
+        published, current, part = 0.0, 0.0, self.parts(now)  # as the ramp judged just now
         for zone, cost in enumerate(costs):
-            lines, _ = self.wanted(now, zone, tasks)
+            lines, _ = self.wanted(zone, part, zones)
             before = {i: w for i, w in tables.lines[zone].items() if i in cost}
             if tables.bound[zone] and before:
                 demand = sum(tables.rate[p] for p in tables.bound[zone])
@@ -573,36 +573,37 @@
                 current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
         return self.gate.decide(published, current, self.outbox.held())
 
-    def wanted(self, now: int, table: int, tasks: list[int]) -> tuple[dict[int, float], dict[int, float]]:
+    def parts(self, now: int) -> dict[int, float]:  # of what a warm task carries, for each open one
+        return {i: self.ramp.part(now, self.roster.started[i]) for i in self.roster.open()}
+
+    def wanted(self, table: int, part: dict[int, float], zones: list[list[int]]) -> tuple[dict, dict]:
         tables, sinks = self.tables, []
-        part = {i: self.ramp.part(now, self.roster.started[i]) for i in tasks}
         if tables.parted or tables.bound[tables.excess]:
-            able = [(self.solver.weight[i], i) for i in tasks if part[i] >= 1.0]
+            able = [(self.solver.weight[i], i) for i in part if part[i] >= 1.0]
             sinks = [i for _, i in sorted(able)[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
-        lines = self.solver.weights(table, self.roster.by_zone())
+        lines = self.solver.weights(table, zones)
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
         caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
         return self.ramp.hold(lines, part, factor), caps
 
     def publish(self, now: int, push: bool) -> list[Order]:
-        box, tables, tasks = self.outbox, self.tables, self.roster.open()
-        ready = set(tasks)
-        cold = {i for i in tasks if self.ramp.part(now, self.roster.started[i]) < 1.0}
+        box, tables, part, zones = self.outbox, self.tables, self.parts(now), self.roster.by_zone()
+        cold = {i for i in part if part[i] < 1.0}
         # Removals behind a long queue wait a little for more of them: nothing is lost, and heads are saved.
         self.told = self.told if self.owed else now
         wait = box.sent - box.left > box.usual / 2 and now < self.told + self.boot.drain_grace // 4
         orders, already, self.owed = [], box.sent, False
         crowd = any(not methods for _, _, methods in tables.joining)  # who waits for a table goes first
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
-            lines, caps = self.wanted(now, table, tasks)
+            lines, caps = self.wanted(table, part, zones)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
             away = [i for i in before if i not in lines]
             small = STEP * sum(lines.values()) / max(len(lines), 1)  # moves of smaller lines hardly count
             # What can't wait: closed tasks, and such as started again while they were listed as warm.
-            gone = [i for i in before if i not in ready or i in cold and cap_before[i] >= 1.0]
+            gone = [i for i in before if i not in part or i in cold and cap_before[i] >= 1.0]
             if gone and wait and len(gone) < len(before):
                 self.owed = True
                 continue
@@ -610,7 +611,7 @@
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
                      or push and abs(lines[i] - before[i]) > STEP * max(before[i], small)]
             if not lines or any(i in before for i in lines):
-                moved += [i for i in away if i in ready and i not in cold]
+                moved += [i for i in away if i in part and i not in cold]
             moved = [i for i in moved if i not in gone]
             wanted = self.levels.wanted(table, self.ramp.calm)
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,8 +21,7 @@
         worst_transit=SECOND // 2, bare=5 * SECOND, drain_grace=3 * SECOND, gone_is_advice=False,
         cold_from=0.2, warm_up=16 * SECOND, fall=2 * SECOND, fall_multiple=4.0, pick=api.Pick.P2C,
         admission=api.Admission.FRACTION, retry_default=0, per_try=1.2, partitions=0, one_owner=False,
-        load_names=("util", "queue"), outlier_after=3, initial_set=5,
-        cross_zone_price=0.1)
+        load_names=("util", "queue"), outlier_after=3, initial_set=5, cross_zone_price=0.1)
     return api.Bootstrap(**{**row, **terms})
 
 
