--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Two commands do all: `make day` plays a bad day against a real assigner, `make test` passes the tests.
+PY = .venv/bin/python
+
+.PHONY: day test serve
+
+.venv/ready: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip -q install --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip -q install --disable-pip-version-check --no-deps -e .
+	touch $@
+
+day: .venv/ready
+	.venv/bin/hollyridge day examples/bad-day.ini
+
+serve: .venv/ready
+	.venv/bin/hollyridge serve examples/loopback.ini
+
+test: .venv/ready
+	$(PY) -m ruff check .
+	$(PY) -m pytest
--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -37,9 +37,12 @@
 
 
 class Admission(IntEnum):
+    """Which levels proxies obey. OFF: none, but ways to try again; SILENT: neither can be ordered."""
+
     OFF = 0
     FRACTION = 1
     PER_SECOND = 2
+    SILENT = 3
 
 
 class Pick(IntEnum):
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -359,7 +359,9 @@
 
 class Levels:
     def __init__(self, boot: Bootstrap) -> None:
-        self.off = boot.admission == Admission.OFF
+        self.off = boot.admission in (Admission.OFF, Admission.SILENT)
+        # The ways to try again: while all is well, and otherwise. A front may have no order for it.
+        self.retry = (boot.retry_default,) * 2 if boot.admission == Admission.SILENT else (ON_PROOF, 0)
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
         self.lag = boot.transit + boot.period + max(m.deadline for m in boot.methods)  # till a cut can show
         most = max(m.criticality for m in boot.methods)
@@ -381,7 +383,7 @@
     def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
         """All methods alike. Further tries, however safe, feed a jam and pile up on whoever has room."""
         part = max(1, round(20 * self.open[zone])) / 20
-        return dict.fromkeys(self.methods, (part, ON_PROOF if calm else 0))
+        return dict.fromkeys(self.methods, (part, self.retry[not calm]))
 
 
 class Outbox:
--- /dev/null
+++ b/hollyridge/steering/channel.py
@@ -0,0 +1,110 @@
+"""When each message of an assigner leaves: in order, at the stated pace, counted with its head.
+
+At the limit on waiting lines a message joins the one that already waits for its proxy, where only the newest
+state of each line counts; a decision is never dropped. It may hurt where a proxy would have been better off
+with the older message at once.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from hollyridge.interface import PutLine
+from hollyridge.steering.desk import Parcel, Step
+
+
+class Waiting(NamedTuple):
+    parcel: Parcel
+    lines: float
+
+
+class Channel:
+    """`lines_per_s` is the pace, `head` the lines that each message costs beyond its own, `most` the lines
+    that may wait, heads included.
+
+    >>> from hollyridge.interface import PutLine
+    >>> channel = Channel(lines_per_s=10, head=1, most=100)
+    >>> channel.put(0, Parcel(4, 1, 0, (PutLine(1.0, 2, 0),), -1), 1)
+    >>> channel.take(199_999), channel.due
+    (None, 200000)
+    >>> channel.take(200_000).proxy, channel.waiting
+    (4, 0.0)
+    """
+
+    def __init__(self, lines_per_s: float, head: float, most: float) -> None:
+        self.per_line, self.head, self.most = 1e6 / lines_per_s, head, most
+        self.queue: OrderedDict[int, Waiting] = OrderedDict()
+        self.newest: dict[int, int] = {}  # proxy: key of its youngest waiting message
+        self.key = 0
+        self.waiting = 0.0
+        self.free_at = 0
+        self.merged = self.over = self.lost_lines = self.highest = 0
+
+    def put(self, now: int, parcel: Parcel, lines: int) -> None:
+        cost = lines + self.head + (parcel.mark >= 0)
+        if self.waiting + cost > self.most:
+            key = self.newest.get(parcel.proxy)
+            if key is not None:
+                self.merge(key, parcel, lines)
+                return
+            self.over += 1
+        if not self.queue:
+            self.free_at = max(self.free_at, now)
+        self.key += 1
+        self.queue[self.key] = Waiting(parcel, cost)
+        self.newest[parcel.proxy] = self.key
+        self.waiting += cost
+        self.highest = max(self.highest, round(self.waiting))
+
+    def merge(self, key: int, parcel: Parcel, lines: int) -> None:
+        """Into a message that waits: a line said again takes the older one's place."""
+        old, cost = self.queue[key]
+        steps: list[Step] = []
+        again = {(s.table, s.task) for s in parcel.steps if type(s) is PutLine}
+        dropped = 0
+        for step in old.steps:
+            if type(step) is PutLine and (step.table, step.task) in again:
+                dropped += 1
+            else:
+                steps.append(step)
+        added = max(0, lines - dropped)
+        joined = parcel._replace(steps=(*steps, *parcel.steps), at=old.at,
+                                 mark=parcel.mark if parcel.mark >= 0 else old.mark)
+        self.queue[key] = Waiting(joined, cost + added)
+        self.waiting += added
+        self.merged += 1
+
+    @property
+    def due(self) -> int | None:
+        """When the next message may leave; None when nothing waits."""
+        if not self.queue:
+            return None
+        return self.free_at + round(next(iter(self.queue.values())).lines * self.per_line)
+
+    def charge(self, now: int, lines: float) -> None:
+        """Lines said in an answer, beside the queue: what waits is held up by as much."""
+        self.free_at = max(self.free_at, now) + round(lines * self.per_line)
+
+    def take(self, now: int) -> Parcel | None:
+        due = self.due
+        if due is None or now < due:
+            return None
+        key, (parcel, lines) = self.queue.popitem(last=False)
+        if self.newest.get(parcel.proxy) == key:
+            del self.newest[parcel.proxy]
+        self.waiting = max(0.0, self.waiting - lines) if self.queue else 0.0
+        self.free_at = due  # not `now`: a sender that woke late must not slow the pace
+        if now - due > 1_000_000:
+            self.free_at = now  # nor may one that stood still send a second's worth at once
+        return parcel
+
+    def lose(self, proxy: int) -> int:
+        """The proxy's stream broke: what waited for it is gone. Returns the number of messages."""
+        keys = [key for key, row in self.queue.items() if row.parcel.proxy == proxy]
+        for key in keys:
+            lines = self.queue.pop(key).lines
+            self.waiting -= lines
+            self.lost_lines += round(lines)
+        self.newest.pop(proxy, None)
+        return len(keys)
--- /dev/null
+++ b/hollyridge/steering/members.py
@@ -0,0 +1,263 @@
+"""Who is listed: members as registered, quiesced and deregistered on SASP streams, and as they vanish.
+
+A list only knows whether a process runs, and hears late. What is decided here:
+
+- *Run.* A member's label may tell `run=` (new at each start) and `up=` (seconds since). The same run coming back
+  is a reconnection; another run, or a label that tells none, is a restart: a restart taken for a reconnection
+  could push a cold task over, the reverse costs a slow rise only.
+- *Owner.* The stream that registered a member last. A request from another stream may not end it while the owner's
+  stream stands, so that a deregistration overtaken by a new registration ends nothing.
+- *Broken stream.* A member that spoke for itself is held `hold_own`, one of an agent's `hold_agent`: an agent that
+  restarts says its list again, and a fleet must not vanish with its list's bearer.
+- *Settling.* After the start the first list waits until registrations have paused for `settle` (`settle_most` at
+  most), so that first tables do not pile all proxies on the few tasks that came first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import NamedTuple, Union
+
+from hollyridge.interface import Listed, ListKind, RosterChange, TaskState
+
+
+class Refusal(IntEnum):
+    """Why a request about members is turned down."""
+
+    ALREADY_REGISTERED = 1
+    NOT_REGISTERED = 2
+    FULL = 3
+    NO_ZONE = 4
+    TWICE = 5
+
+
+class Applicant(NamedTuple):
+    """A member as a request names it: its key, its index and zone as found at the door (-1: not found)."""
+
+    key: tuple
+    task: int
+    zone: int
+    label: str
+    own: bool  # registers itself
+
+
+class Registered(NamedTuple):
+    stream: int
+    members: tuple[Applicant, ...]
+
+
+class Deregistered(NamedTuple):
+    """`keys` None: all that this stream may take out."""
+
+    stream: int
+    keys: tuple[tuple, ...] | None
+
+
+class Quiesced(NamedTuple):
+    stream: int
+    key: tuple
+    on: bool
+
+
+class StreamLost(NamedTuple):
+    stream: int
+
+
+class Tick(NamedTuple):
+    pass
+
+
+class AskedAgain(NamedTuple):
+    """The module wants the whole list."""
+
+
+Happening = Union[Registered, Deregistered, Quiesced, StreamLost, Tick, AskedAgain]
+
+
+class Outcome(NamedTuple):
+    """What to hand on: a list change or None, why a request was turned down or None, members that left."""
+
+    change: RosterChange | None = None
+    refusal: Refusal | None = None
+    left: tuple[tuple, ...] = ()
+
+
+class Terms(NamedTuple):
+    """Times in microseconds. `warm_up` is when a task counts as warm, `most` how many may be listed."""
+
+    warm_up: int
+    hold_own: int
+    hold_agent: int
+    settle: int
+    settle_most: int
+    most: int
+
+
+class Row:
+    __slots__ = ("task", "zone", "run", "started", "stream", "own", "state", "weight", "until")
+
+    def __init__(self, who: Applicant) -> None:
+        self.task, self.zone, self.own = who.task, who.zone, who.own
+        self.run, self.started, self.stream = "", 0, -1
+        self.state, self.weight, self.until = TaskState.READY, 1.0, -1
+
+
+def read_label(label: str) -> dict[str, str]:
+    """`word=value` pairs of a label; anything else in it is passed over.
+
+    >>> read_label("shelf-3 run=9f up=12.5 size=2")
+    {'run': '9f', 'up': '12.5', 'size': '2'}
+    """
+    return dict(word.split("=", 1) for word in label.split() if "=" in word)
+
+
+def figure(words: dict[str, str], name: str, least: float, most: float) -> float | None:
+    """A number from a label within bounds; None for anything else.
+
+    >>> figure({"up": "nan"}, "up", 0, 10), figure({"up": "3"}, "up", 0, 10)
+    (None, 3.0)
+    """
+    try:
+        value = float(words.get(name, ""))
+    except ValueError:
+        return None
+    return value if least <= value <= most else None
+
+
+class Members:
+    def __init__(self, terms: Terms, now: int) -> None:
+        self.terms = terms
+        self.rows: dict[tuple, Row] = {}
+        self.version = 0
+        self.opened = now
+        self.settled = False
+        self.newest = now
+        self.restarts = self.returns = self.lapsed = 0
+
+    def take(self, now: int, what: Happening) -> Outcome:
+        """One thing that happened; what follows from it."""
+        if type(what) is Registered:
+            outcome = self.register(now, what)
+        elif type(what) is Deregistered:
+            outcome = self.deregister(now, what)
+        elif type(what) is Quiesced:
+            outcome = self.quiesce(now, what)
+        elif type(what) is StreamLost:
+            outcome = self.lose(now, what.stream)
+        elif type(what) is Tick:
+            outcome = self.tick(now)
+        else:
+            return Outcome(self.whole(ListKind.FULL)) if self.settled else Outcome()
+        if not self.settled:  # nothing is handed on before the first list
+            return outcome._replace(change=self.first(now))
+        return outcome
+
+    def first(self, now: int) -> RosterChange | None:
+        quiet = self.rows and now - self.newest >= self.terms.settle
+        if not quiet and now - self.opened < self.terms.settle_most:
+            return None
+        self.settled = True
+        return self.whole(ListKind.CACHED)
+
+    def whole(self, kind: ListKind) -> RosterChange:
+        self.version += 1
+        return RosterChange(self.version, kind, tuple(map(self.listed, self.rows.values())))
+
+    def delta(self, entries: Iterable[Listed]) -> RosterChange | None:
+        rows = tuple(entries)
+        if not rows:
+            return None
+        self.version += 1
+        return RosterChange(self.version, ListKind.DELTA, rows)
+
+    @staticmethod
+    def listed(row: Row) -> Listed:
+        return Listed(row.task, row.zone, 0, 0, row.state, row.weight, row.started)
+
+    def started(self, now: int, words: dict[str, str]) -> int:
+        """When this run began; 0 for long past. One that does not say so began now: careful, never bold."""
+        up = figure(words, "up", 0.0, 1e9)
+        if up is None:
+            return now
+        return 0 if up * 1e6 >= self.terms.warm_up else max(1, now - round(up * 1e6))
+
+    def register(self, now: int, what: Registered) -> Outcome:
+        if len({who.key for who in what.members}) < len(what.members):
+            return Outcome(refusal=Refusal.TWICE)
+        new = [who for who in what.members if who.key not in self.rows]
+        if len(self.rows) + len(new) > self.terms.most or any(who.task < 0 for who in what.members):
+            return Outcome(refusal=Refusal.FULL)
+        if any(who.zone < 0 for who in what.members):
+            return Outcome(refusal=Refusal.NO_ZONE)
+        changed, same = [], 0
+        for who in what.members:
+            words = read_label(who.label)
+            run = words.get("run", "")
+            row = self.rows.get(who.key)
+            if row is not None and run and run == row.run:
+                same += row.stream == what.stream
+                self.returns += row.stream != what.stream
+                row.stream, row.until, row.own = what.stream, -1, who.own
+                if row.state != TaskState.DRAINING:
+                    continue
+                row.state = TaskState.READY  # registering anew ends a drain
+            elif row is not None and not run and row.stream == what.stream:
+                same += 1
+                continue
+            else:
+                self.restarts += row is not None
+                row = self.rows[who.key] = Row(who)
+                row.run, row.stream, row.started = run, what.stream, self.started(now, words)
+                row.weight = figure(words, "size", 1e-6, 1e6) or 1.0
+            changed.append(row)
+        self.newest = now
+        refusal = Refusal.ALREADY_REGISTERED if what.members and same == len(what.members) else None
+        return Outcome(self.delta(map(self.listed, changed)) if self.settled else None, refusal)
+
+    def mine(self, stream: int, row: Row) -> bool:
+        return row.stream in (stream, -1)
+
+    def remove(self, keys: Iterable[tuple]) -> tuple[RosterChange | None, tuple[tuple, ...]]:
+        gone = tuple(keys)
+        entries = [self.listed(self.rows.pop(key))._replace(state=TaskState.GONE) for key in gone]
+        return (self.delta(entries) if self.settled else None), gone
+
+    def deregister(self, now: int, what: Deregistered) -> Outcome:
+        if what.keys is None:
+            keys = [key for key, row in self.rows.items() if row.stream == what.stream]
+        else:
+            keys = [key for key in what.keys if key in self.rows and self.mine(what.stream, self.rows[key])]
+            if len(keys) < len(set(what.keys)):
+                return Outcome(refusal=Refusal.NOT_REGISTERED)
+        change, left = self.remove(dict.fromkeys(keys))
+        return Outcome(change, None, left)
+
+    def quiesce(self, now: int, what: Quiesced) -> Outcome:
+        row = self.rows.get(what.key)
+        if row is None or not self.mine(what.stream, row):
+            return Outcome(refusal=Refusal.NOT_REGISTERED)
+        state = TaskState.DRAINING if what.on else TaskState.READY
+        if row.state == state:
+            return Outcome()
+        row.state = state
+        return Outcome(self.delta([self.listed(row)]) if self.settled else None)
+
+    def lose(self, now: int, stream: int) -> Outcome:
+        for row in self.rows.values():
+            if row.stream == stream:
+                row.stream = -1
+                row.until = now + (self.terms.hold_own if row.own else self.terms.hold_agent)
+        return self.tick(now)
+
+    def tick(self, now: int) -> Outcome:
+        over = [key for key, row in self.rows.items() if 0 <= row.until <= now]
+        self.lapsed += len(over)
+        change, left = self.remove(over)
+        return Outcome(change, None, left)
+
+    def next_at(self, now: int) -> int | None:
+        """When a `Tick` is due next."""
+        if not self.settled:
+            return now + max(1000, self.terms.settle // 4)
+        return min((row.until for row in self.rows.values() if row.until >= 0), default=None)
--- /dev/null
+++ b/hollyridge/steering/news.py
@@ -0,0 +1,176 @@
+"""What reports count: each period of each series once, late or out of order or said twice; absurd ones never.
+
+A sender's clock is not believed about when something was: a period's ends only tell how long it was and whether
+it has been counted before. Sums of many proxies at one task come out as one figure whose rate is the sum of their
+rates, however unequal or late their periods are.
+"""
+
+from __future__ import annotations
+
+import math
+from enum import IntEnum
+from typing import NamedTuple
+
+from hollyridge.interface import Event, OfferedLoad, TrafficReport
+
+SPANS = 32  # periods remembered by series; one that ends before the oldest of them is too old to tell
+LONGEST = 600_000_000_000  # ns
+SECOND = 1_000_000_000
+
+
+class Kind(IntEnum):
+    TRIES = 0
+    FAILED = 1
+    TIME = 2  # seconds that good tries took, summed
+    RPCS = 3
+    UNANSWERED = 4
+    UTIL = 5
+    QUEUE = 6
+
+
+LOADS = (Kind.UTIL, Kind.QUEUE)
+
+
+class Point(NamedTuple):
+    """One figure. `place` is (zone, task) or (proxy, method), as indices; times in ns of the sender's clock."""
+
+    source: str
+    kind: Kind
+    place: tuple[int, int]
+    method: int
+    value: float
+    start: int
+    end: int
+
+
+class Sum:
+    __slots__ = ("value", "span")
+
+    def __init__(self) -> None:
+        self.value, self.span = 0.0, 0
+
+
+class News:
+    """`most_series` are kept in all, `most_each` of one source; `per_s` is the most that can be true of a rate;
+    `lines` the most that is handed on a period, what is left out waits for the next.
+
+    >>> news = News(100, 100, 1e6, 50, 60_000_000)
+    >>> tries = Point("gw-1", Kind.TRIES, (0, 3), 0, 12.0, 5 * SECOND, 6 * SECOND)
+    >>> news.take(0, tries), news.take(0, tries)
+    ('', 'counted before')
+    >>> news.gather(10)
+    [TrafficReport(zone=0, task=3, tries=12, bad=0, latency=0, over=1000000, load=(-1.0, -1.0))]
+    """
+
+    def __init__(self, most_series: int, most_each: int, per_s: float, lines: int, forget: int) -> None:
+        self.most_series, self.most_each, self.per_s = most_series, most_each, per_s
+        self.lines, self.forget = lines, forget
+        self.spans: dict[tuple, list[tuple[int, int]]] = {}
+        self.used: dict[tuple, int] = {}
+        self.sizes: dict[str, int] = {}
+        self.sums: dict[tuple, dict[tuple, Sum]] = {}  # (kind, place): by (source, method)
+        self.loads: dict[int, dict[Kind, float]] = {}
+        self.swept = 0
+        self.turned_down: dict[str, int] = {}
+
+    def take(self, now: int, point: Point) -> str:
+        """Empty if the point counts, else why it does not."""
+        why = self.judge(now, point)
+        if why:
+            self.turned_down[why] = self.turned_down.get(why, 0) + 1
+            return why
+        if point.kind in LOADS:
+            self.loads.setdefault(point.place[1], {})[point.kind] = point.value
+            return ""
+        bearer = self.sums.setdefault((point.kind, point.place), {})
+        row = bearer.setdefault((point.source, point.method), Sum())
+        row.value += point.value
+        row.span += (point.end - point.start) // 1000
+        return ""
+
+    def judge(self, now: int, point: Point) -> str:
+        value, span = point.value, point.end - point.start
+        if not math.isfinite(value) or value < 0:
+            return "no sensible figure"
+        if point.kind in LOADS:
+            if point.kind == Kind.UTIL and value > 16:
+                return "no sensible figure"
+            return "" if self.remember(now, point, point.end, point.end + 1) else self.full(point)
+        if not 0 < span <= LONGEST:
+            return "no sensible period"
+        if value > self.per_s * max(span, SECOND // 100) / SECOND:
+            return "more than can be"
+        return "" if self.remember(now, point, point.start, point.end) else self.full(point)
+
+    def full(self, point: Point) -> str:
+        key = (point.source, point.kind, point.place, point.method)
+        return "counted before" if key in self.spans else "too many series"
+
+    def remember(self, now: int, point: Point, start: int, end: int) -> bool:
+        key = (point.source, point.kind, point.place, point.method)
+        spans = self.spans.get(key)
+        if spans is None:
+            if len(self.spans) >= self.most_series or self.sizes.get(point.source, 0) >= self.most_each:
+                self.sweep(now)
+                if len(self.spans) >= self.most_series or self.sizes.get(point.source, 0) >= self.most_each:
+                    return False
+            spans = self.spans[key] = []
+            self.sizes[point.source] = self.sizes.get(point.source, 0) + 1
+        if len(spans) >= SPANS and end <= spans[0][1]:
+            return False
+        if any(start < b and a < end for a, b in spans):
+            return False
+        spans.append((start, end))
+        spans.sort()
+        del spans[:-SPANS]
+        self.used[key] = now
+        return True
+
+    def sweep(self, now: int) -> None:
+        """Forget series long unused; at most once a quarter of that time, however full it is."""
+        if now - self.swept < self.forget // 4 and self.swept:
+            return
+        self.swept = now
+        for key in [key for key, at in self.used.items() if now - at > self.forget]:
+            del self.spans[key], self.used[key]
+            self.sizes[key[0]] -= 1
+            if not self.sizes[key[0]]:
+                del self.sizes[key[0]]
+
+    def rate(self, kind: Kind, place: tuple[int, int]) -> tuple[float, float]:
+        """What was summed at a place, and how much of it a microsecond."""
+        rows = self.sums.get((kind, place), {}).values()
+        return sum(row.value for row in rows), sum(row.value / max(row.span, 1) for row in rows)
+
+    def gather(self, now: int) -> list[Event]:
+        """All that came since, as the module reads it: most tries first where there are too many lines."""
+        self.sweep(now) if now - self.swept > self.forget else None
+        tried = sorted(((-self.rate(Kind.TRIES, place)[0], place) for kind, place in self.sums
+                        if kind == Kind.TRIES))[:self.lines]
+        offered = sorted({place for kind, place in self.sums if kind == Kind.RPCS})
+        events: list[Event] = []
+        for _, place in tried:
+            tries, pace = self.rate(Kind.TRIES, place)
+            bad, took = (self.rate(kind, place)[0] for kind in (Kind.FAILED, Kind.TIME))
+            good = round(tries) - round(min(bad, tries))
+            load = self.loads.pop(place[1], {})
+            events.append(TrafficReport(
+                place[0], place[1], round(tries), round(min(bad, tries)),
+                round(took * 1e6 / good) if good > 0 else 0, self.over(tries, pace),
+                tuple(load.get(kind, -1.0) for kind in LOADS)))
+            for kind in (Kind.TRIES, Kind.FAILED, Kind.TIME):
+                self.sums.pop((kind, place), None)
+        for place in offered:
+            rpcs, pace = self.rate(Kind.RPCS, place)
+            unanswered = self.rate(Kind.UNANSWERED, place)[0]
+            events.append(OfferedLoad(round(rpcs), self.over(rpcs, pace, (Kind.RPCS, place)), *place,
+                                      round(unanswered)))
+            for kind in (Kind.RPCS, Kind.UNANSWERED):
+                self.sums.pop((kind, place), None)
+        return events
+
+    def over(self, total: float, pace: float, quiet: tuple | None = None) -> int:
+        if pace > 0:
+            return max(1, round(total / pace))
+        rows = self.sums.get(quiet, {}) if quiet else {}
+        return max([row.span for row in rows.values()], default=1)
