--- /dev/null
+++ b/hollyridge/core/front.py
@@ -0,0 +1,20 @@
+"""What the core asks of a front, the service side of one protocol. The core never asks which one it is."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from hollyridge.steering.desk import Abilities, Parcel
+
+
+class Front(Protocol):
+    abilities: Abilities
+
+    def lines(self, proxy: int, parcel: Parcel) -> int:
+        """How many lines this message comes to at this proxy, its head left out."""
+
+    def write(self, proxy: int, parcel: Parcel) -> None:
+        """Send it; must not block. What a slow reader holds up is merged and bounded by the front."""
+
+    def detach(self, proxy: int, why: str) -> None:
+        """Close the proxy's stream."""
--- /dev/null
+++ b/hollyridge/core/loop.py
@@ -0,0 +1,41 @@
+"""The machine on gevent: one greenlet owns it, everything else speaks to it between its turns."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+from gevent.event import Event
+
+from hollyridge.core.machine import Machine
+
+
+def monotonic_us() -> int:
+    """Microseconds of a clock that never steps; starts well above 0, which the module reads as long past."""
+    return time.monotonic_ns() // 1000 + 1_000_000_000
+
+
+class Loop:
+    """Runs a machine until `stop`. `nudge` after anything was told to it."""
+
+    LEAST = 0.0005  # s between two runs, so that what comes together is decided together
+
+    def __init__(self, machine: Machine, clock=monotonic_us) -> None:
+        self.machine, self.clock = machine, clock
+        self.news = Event()
+        self.stopping = False
+
+    def nudge(self) -> None:
+        self.news.set()
+
+    def run(self) -> None:
+        """Blocks. Raises what the machine raises when it gives up."""
+        while not self.stopping:
+            self.news.clear()
+            due = self.machine.run(self.clock())
+            self.news.wait(max(self.LEAST, (due - self.clock()) / 1e6))
+            gevent.sleep(self.LEAST)
+
+    def stop(self) -> None:
+        self.stopping = True
+        self.news.set()
--- /dev/null
+++ b/hollyridge/core/machine.py
@@ -0,0 +1,279 @@
+"""One assigner without threads or sockets: what came in, what the module ordered, what may leave now.
+
+`run(now)` does all that is due and returns when it wants to be called next; whoever owns it brings the clock and
+the wire. A failure of the module ends nothing silently: it is logged with the events that led to it, proxies keep
+what they hold, and a fresh module is told the list and who is joined, as after a restart.
+"""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from collections import deque
+from collections.abc import Callable, Hashable
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from hollyridge import interface as api
+from hollyridge.core.front import Front
+from hollyridge.rules import Assigner
+from hollyridge.steering import members
+from hollyridge.steering.channel import Channel
+from hollyridge.steering.desk import Desk
+from hollyridge.steering.door import Door
+from hollyridge.steering.news import News, Point
+
+
+class Limits(NamedTuple):
+    """Counts and times (microseconds) of one assigner that the module does not read."""
+
+    lines_per_s: float
+    head: float
+    most_waiting: float
+    most_tasks: int
+    most_proxies: int
+    most_series: int
+    most_series_each: int
+    most_rate: float
+    news_lines: int
+    events_most: int
+    members: members.Terms
+
+
+class ModuleError(Exception):
+    """The module failed too often to go on."""
+
+
+WAKES = 4096
+FAILURES = 3  # of the module within a minute; one more and the assigner gives up
+TRAIL = 64  # events kept for the log of a failure
+
+
+class Machine:
+    """`make(bootstrap, seed)` builds the decision module: `rules.Assigner`, or a baseline of the laboratory."""
+
+    def __init__(self, boot: api.Bootstrap, seed: int, limits: Limits, now: int, log,
+                 make: Callable = Assigner) -> None:
+        self.boot, self.seed, self.limits, self.log, self.make = boot, seed, limits, log, make
+        self.module = make(boot, seed)
+        self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks, self.named)
+        self.proxies = Door(boot.drain_grace * 2, min(limits.most_proxies, 65535))
+        self.members = members.Members(limits.members, now)
+        self.news = News(limits.most_series, limits.most_series_each, limits.most_rate, limits.news_lines,
+                         60 * boot.period)
+        self.desk = Desk(len(boot.methods))
+        self.channel = Channel(limits.lines_per_s, limits.head, limits.most_waiting)
+        self.fronts: dict[int, Front] = {}
+        self.places: dict[int, tuple[Hashable, int, float]] = {}  # proxy: name, zone, usual rate
+        self.listed: dict[int, api.Listed] = {}
+        self.heard: dict[int, int] = {}  # task: when news of it came last
+        self.inbox: deque[tuple[int, api.Event]] = deque()
+        self.wakes: list[tuple[int, int]] = []
+        self.trail: deque[tuple[int, api.Event]] = deque(maxlen=TRAIL)
+        self.failures: deque[int] = deque()
+        self.number = 0
+        self.started = False
+        self.gather_at = now + boot.period
+        self.refused: dict[str, int] = {}
+        self.counts = dict.fromkeys(("decisions", "orders", "messages", "events", "events_dropped", "wakes_dropped",
+                                     "module_failures", "puts", "joins"), 0)
+        self.latency = HdrHistogram(1, 60_000_000, 3)
+
+    # What the fronts and the intake say.
+
+    def tell(self, now: int, event: api.Event) -> None:
+        """Queue an event for the module. Past the limit, reports give way to what changes the fleet."""
+        if len(self.inbox) >= self.limits.events_most and isinstance(event, (api.TrafficReport, api.OfferedLoad)):
+            self.counts["events_dropped"] += 1
+            return
+        self.inbox.append((now, event))
+
+    def join(self, now: int, front: Front, name: Hashable, zone: int, rate: float) -> int | None:
+        """A proxy's stream stands; its index, or None where no more are taken."""
+        proxy = self.proxies.enter(now, name)
+        if proxy is None:
+            return None
+        self.fronts[proxy], self.places[proxy] = front, (name, zone, rate)
+        self.counts["joins"] += 1
+        self.tell(now, api.Joined(rate, False, proxy, zone))
+        return proxy
+
+    def leave(self, now: int, proxy: int) -> None:
+        if self.fronts.pop(proxy, None) is None:
+            return
+        name, _, _ = self.places.pop(proxy)
+        self.proxies.leave(now, name)
+        self.channel.lose(proxy)
+        self.desk.forget(proxy)
+        self.tell(now, api.Left(proxy))
+
+    def receipt(self, now: int, proxy: int, mark: int, took: int) -> None:
+        self.tell(now, api.Receipt(proxy, mark, took))
+
+    def report(self, now: int, point: Point) -> str:
+        """Take one reported figure; empty if it counts, else why not."""
+        why = self.news.take(now, point)
+        if not why and point.place[1] in self.listed and point.kind <= 2:
+            self.heard[point.place[1]] = now
+        return why
+
+    def happened(self, now: int, what: members.Happening) -> members.Refusal | None:
+        """Something about members; why it was turned down, or None."""
+        outcome = self.members.take(now, what)
+        for key in outcome.left:
+            self.tasks.leave(now, key)
+        if outcome.change is not None:
+            for entry in outcome.change.entries:
+                self.listed[entry.task] = entry
+            self.log.info("list", version=outcome.change.version, entries=len(outcome.change.entries),
+                          states=[(e.task, int(e.state)) for e in outcome.change.entries[:20]])
+            self.tell(now, outcome.change)
+        return outcome.refusal
+
+    # What is known of a task, for a front's entries.
+
+    def cold(self, now: int, task: int) -> bool:
+        entry = self.listed.get(task)
+        return entry is not None and entry.started_at > 0 and now - entry.started_at < self.boot.warm_up
+
+    def closed(self, task: int) -> bool:
+        entry = self.listed.get(task)
+        return entry is None or entry.state != api.TaskState.READY or task in self.desk.out
+
+    def running(self, task: int) -> bool:
+        entry = self.listed.get(task)
+        return entry is not None and entry.state != api.TaskState.GONE
+
+    def confident(self, now: int, task: int) -> bool:
+        """Whether its weight rests on news, not on its listed size."""
+        return now - self.heard.get(task, -1 << 60) < 4 * self.boot.period and not self.cold(now, task)
+
+    def named(self, task: int) -> bool:
+        return any(task in lines for lines in self.desk.tables.values())
+
+    # The loop.
+
+    def run(self, now: int) -> int:
+        """Do all that is due; returns when to be called next, sooner if something comes in. Raises ModuleError."""
+        due = self.members.next_at(now)
+        if due is not None and (due <= now or not self.members.settled):
+            self.happened(now, members.Tick())
+        if now >= self.gather_at:
+            for event in self.news.gather(now):
+                self.tell(now, event)
+            self.gather_at = max(self.gather_at + self.boot.period, now + self.boot.period // 2)
+        if self.members.settled and (self.inbox or not self.started or self.wakes and self.wakes[0][0] <= now):
+            self.decide(now)
+        while (parcel := self.channel.take(now)) is not None:
+            front = self.fronts.get(parcel.proxy)
+            if front is not None:
+                front.write(parcel.proxy, parcel)
+                self.counts["messages"] += 1
+                self.latency.record_value(min(max(now - parcel.at, 1), 60_000_000))
+        times = [self.gather_at, self.members.next_at(now), self.channel.due]
+        if self.wakes and self.members.settled:
+            times.append(self.wakes[0][0])
+        return min(at for at in times if at is not None)
+
+    def decide(self, now: int) -> None:
+        events: list[api.Event] = []
+        oldest = now
+        if not self.started:  # the first list is in the inbox, before all else
+            self.started = True
+        while self.inbox:
+            at, event = self.inbox.popleft()
+            oldest = min(oldest, at)
+            events.append(event)
+            self.trail.append((now, event))
+        while self.wakes and self.wakes[0][0] <= now:
+            events.append(api.Woke(heapq.heappop(self.wakes)[1]))
+        events.sort(key=lambda event: 0 if type(event) is api.RosterChange else 1)  # stable: the rest as it came
+        self.number += 1
+        self.counts["events"] += len(events)
+        try:
+            orders = self.module.decide(now, events)
+        except Exception as trouble:  # whatever it is, the program must go on and say so
+            self.fail(now, trouble)
+            return
+        self.counts["decisions"] += 1
+        self.counts["orders"] += len(orders)
+        self.carry(now, oldest, orders)
+
+    def carry(self, now: int, oldest: int, orders: list[api.Order]) -> None:
+        tables: list[api.Order] = []
+        for order in orders:
+            if type(order) is api.WakeAt:
+                if len(self.wakes) < WAKES:
+                    heapq.heappush(self.wakes, (now + max(order.delay, 1), order.token))
+                else:
+                    self.counts["wakes_dropped"] += 1
+            elif type(order) in (api.Reload, api.Watch):
+                self.happened(now, members.AskedAgain())
+            elif type(order) is api.Note:
+                self.log.info("note", text=order.text)
+            else:
+                tables.append(order)
+        if not tables:
+            return
+        abilities = {proxy: front.abilities for proxy, front in self.fronts.items()}
+        parcels, refused = self.desk.carry(oldest, self.number, tables, abilities)
+        for why, count in refused.items():
+            self.refused[why] = self.refused.get(why, 0) + count
+        for parcel in parcels:
+            self.channel.put(now, parcel, self.fronts[parcel.proxy].lines(parcel.proxy, parcel))
+        self.say(now, tables, parcels, refused)
+
+    def say(self, now: int, orders: list[api.Order], parcels: list, refused: dict[str, int]) -> None:
+        """One log line a decision: which tables and tasks, and which part of the module moved them."""
+        causes: dict[str, list] = {}
+        for order in orders:
+            if type(order) is api.PutLine:
+                self.counts["puts"] += 1
+                causes.setdefault(self.cause(now, order), []).append(
+                    (order.table, order.task, round(order.weight, 4)))
+            elif type(order) is api.Attach:
+                causes.setdefault("joins", []).append((order.proxy, order.table))
+            elif type(order) is api.SetLevel:
+                causes.setdefault("levels", []).append((order.table, order.methods, order.amount))
+        if causes or refused:
+            self.log.info("decided", version=self.number, messages=len(parcels),
+                          waiting=round(self.channel.waiting), refused=refused or None,
+                          **{cause: rows[:40] for cause, rows in causes.items()})
+
+    def cause(self, now: int, order: api.PutLine) -> str:
+        if self.closed(order.task):
+            return "drain"
+        if self.cold(now, order.task):
+            return "ramp"
+        return "solver" if order.weight > 0 else "reach"
+
+    def fail(self, now: int, trouble: Exception) -> None:
+        self.counts["module_failures"] += 1
+        self.log.error("module failed", version=self.number, error=f"{type(trouble).__name__}: {trouble}",
+                       where=traceback.format_exception(trouble)[-3:], events=[repr(row) for row in self.trail])
+        self.failures.append(now)
+        while self.failures[0] < now - 60_000_000:
+            self.failures.popleft()
+        if len(self.failures) > FAILURES:
+            raise ModuleError(f"the module failed {len(self.failures)} times within a minute")
+        self.module = self.make(self.boot, self.seed)
+        self.desk = Desk(len(self.boot.methods))
+        self.channel = Channel(self.limits.lines_per_s, self.limits.head, self.limits.most_waiting)
+        self.wakes.clear()
+        self.trail.clear()
+        self.inbox.append((now, self.members.whole(api.ListKind.CACHED)))
+        for proxy, (_, zone, rate) in self.places.items():
+            self.inbox.append((now, api.Joined(rate, False, proxy, zone)))
+
+    def status(self) -> dict:
+        """Counts and levels for logs and the status page."""
+        took = self.latency
+        return {**self.counts, "refused": self.refused, "waiting": round(self.channel.waiting),
+                "waiting_most": self.channel.highest, "merged": self.channel.merged,
+                "over_limit": self.channel.over, "lost_lines": self.channel.lost_lines,
+                "proxies": len(self.fronts), "tasks": len(self.members.rows),
+                "restarts": self.members.restarts, "returns": self.members.returns,
+                "lapsed": self.members.lapsed, "turned_down": self.news.turned_down,
+                "news_to_frame_us": {"p50": took.get_value_at_percentile(50),
+                                     "p99": took.get_value_at_percentile(99), "max": took.get_max_value()}}
--- /dev/null
+++ b/hollyridge/otlp/intake.py
@@ -0,0 +1,188 @@
+"""The OTLP receiver: `POST /v1/metrics` by HTTP, protobuf or JSON, gzip or plain; `GET /status`.
+
+Errors are answered as the protocol has them: 400 for what can't be read, 413 for too much, 429 with a time to
+come back when a sender is too fast, partial success for points that do not count.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+from google.protobuf import json_format
+from google.protobuf.message import DecodeError
+from google.rpc.status_pb2 import Status
+from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import (
+    ExportMetricsServiceRequest, ExportMetricsServiceResponse,
+)
+
+from hollyridge.core.loop import Loop
+from hollyridge.otlp.reading import Names, Running, read
+from hollyridge.steering.doorkeeper import Bucket
+
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           411: "Length Required", 413: "Content Too Large", 415: "Unsupported Media Type",
+           429: "Too Many Requests", 503: "Service Unavailable"}
+THREADED = 64 * 1024  # bytes of body from which it is unpacked off the hub's thread
+
+
+class OtlpTerms(NamedTuple):
+    """Sizes in bytes, times in seconds; `points_per_s` is what all senders together may say."""
+
+    host: str
+    port: int
+    body_most: int
+    body_s: float
+    connections_most: int
+    points_per_s: float
+
+
+class BadError(Exception):
+    """A request that is turned down, with its HTTP status."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+def inflate(raw: bytes, most: int) -> bytes:
+    """A gzip body, `most` bytes at the most however small it came. Raises BadError."""
+    try:
+        engine = zlib.decompressobj(wbits=31)
+        out = engine.decompress(raw, most + 1)
+    except zlib.error:
+        raise BadError(400, "the body is no gzip") from None
+    if len(out) > most:
+        raise BadError(413, f"a body of over {most} bytes")
+    if not engine.eof:
+        raise BadError(400, "the gzip body is cut off")
+    return out
+
+
+def parse(raw: bytes, gzipped: bool, as_json: bool, most: int) -> ExportMetricsServiceRequest:
+    body = inflate(raw, most) if gzipped else raw
+    try:
+        if as_json:
+            return json_format.Parse(body, ExportMetricsServiceRequest(), ignore_unknown_fields=True,
+                                     max_recursion_depth=32)
+        return ExportMetricsServiceRequest.FromString(body)
+    except (DecodeError, json_format.ParseError, UnicodeDecodeError, RecursionError, ValueError):
+        raise BadError(400, "the body is no metrics request") from None
+
+
+class Intake:
+    """`status()` is what `GET /status` answers."""
+
+    def __init__(self, loop: Loop, terms: OtlpTerms, names: Names, status: Callable[[], dict], log) -> None:
+        self.loop, self.terms, self.names, self.status_of, self.log = loop, terms, names, status, log
+        self.running = Running(loop.machine.limits.most_series)
+        self.pace = Bucket(terms.points_per_s, 2 * terms.points_per_s)
+        self.counts = dict.fromkeys(("requests", "points", "rejected", "bad", "slowed"), 0)
+        self.why: dict[str, int] = {}
+        self.server = WSGIServer((terms.host, terms.port), self.serve, log=None, error_log=None,
+                                 spawn=Pool(terms.connections_most))
+
+    def start(self) -> int:
+        self.server.start()
+        self.log.info("otlp listens", host=self.terms.host, port=self.server.server_port)
+        return self.server.server_port
+
+    def stop(self) -> None:
+        self.server.stop(timeout=0)
+
+    def serve(self, environ: dict, start_response: Callable) -> list[bytes]:
+        path, verb = environ.get("PATH_INFO", ""), environ.get("REQUEST_METHOD", "")
+        kind = environ.get("CONTENT_TYPE", "").split(";")[0].strip()
+        as_json = kind == "application/json"
+        extra: list[tuple[str, str]] = []
+        try:
+            if path == "/status" and verb == "GET":
+                kind, body, status = "application/json", msgspec.json.encode(self.status_of()), 200
+            else:
+                status, body = 200, self.metrics(environ, path, verb, kind, as_json)
+        except BadError as trouble:
+            status, kind = trouble.status, kind if as_json else "application/x-protobuf"
+            self.counts["slowed" if status == 429 else "bad"] += 1
+            if status == 429:
+                extra = [("Retry-After", "1")]
+            answer = Status(code=8 if status == 429 else 3, message=str(trouble))
+            body = json_format.MessageToJson(answer).encode() if as_json else answer.SerializeToString()
+            self.log.warning("report refused", peer=environ.get("REMOTE_ADDR"), status=status, why=str(trouble))
+        if status not in (200, 429):  # what is left of the body is not worth reading
+            extra.append(("Connection", "close"))
+        start_response(f"{status} {REASONS[status]}", [("Content-Type", kind or "application/x-protobuf"),
+                                                       ("Content-Length", str(len(body))), *extra])
+        return [body]
+
+    def body(self, environ: dict) -> bytes:
+        try:
+            length = int(environ.get("CONTENT_LENGTH") or -1)
+        except ValueError:
+            length = -1
+        if length < 0 and environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
+            raise BadError(411, "no length")
+        if length > self.terms.body_most:
+            raise BadError(413, f"a body of {length} bytes ({self.terms.body_most} at most)")
+        try:
+            with gevent.Timeout(self.terms.body_s, TimeoutError):
+                raw = environ["wsgi.input"].read(length if length >= 0 else self.terms.body_most + 1)
+        except TimeoutError:
+            raise BadError(408, "the body did not come in time") from None
+        except OSError as trouble:
+            raise BadError(400, f"the body broke off: {trouble}") from None
+        if len(raw) > self.terms.body_most:
+            raise BadError(413, f"a body of over {self.terms.body_most} bytes")
+        if len(raw) < length:
+            raise BadError(400, "the body is shorter than told")
+        return raw
+
+    def metrics(self, environ: dict, path: str, verb: str, kind: str, as_json: bool) -> bytes:
+        if path != "/v1/metrics":
+            raise BadError(404, f"nothing at {path[:80]}")
+        if verb != "POST":
+            raise BadError(405, f"{verb[:16]} is not spoken here")
+        if not as_json and kind != "application/x-protobuf":
+            raise BadError(415, "application/x-protobuf or application/json is wanted")
+        packing = environ.get("HTTP_CONTENT_ENCODING", "identity")
+        if packing not in ("identity", "gzip"):
+            raise BadError(415, "gzip is the only content encoding spoken")
+        if self.pace.left < 0:
+            self.pace.draw(self.loop.clock(), 0)
+            if self.pace.left < 0:
+                raise BadError(429, "more points a second than are read; come again")
+        raw, most = self.body(environ), 8 * self.terms.body_most
+        if len(raw) >= THREADED:  # unpacking is one long call: it would hold up all streams
+            request = gevent.get_hub().threadpool.apply(parse, (raw, packing == "gzip", as_json, most))
+        else:
+            request = parse(raw, packing == "gzip", as_json, most)
+        return self.count(request, environ.get("REMOTE_ADDR", "?"), as_json)
+
+    def count(self, request: ExportMetricsServiceRequest, peer: str, as_json: bool) -> bytes:
+        now, rejected, total = self.loop.clock(), {}, 0
+        for point in read(request, peer, self.names, self.running):
+            total += 1
+            why = point if isinstance(point, str) else self.loop.machine.report(now, point)
+            if why and why != "counted before":  # a repeat after a lost answer is a success to its sender
+                rejected[why] = rejected.get(why, 0) + 1
+            if why:
+                self.why[why] = self.why.get(why, 0) + 1
+            if total % 500 == 0:
+                gevent.sleep(0)
+        self.pace.draw(now, 0)
+        self.pace.left -= total
+        self.counts["requests"] += 1
+        self.counts["points"] += total
+        self.counts["rejected"] += sum(rejected.values())
+        answer = ExportMetricsServiceResponse()
+        if rejected:
+            answer.partial_success.rejected_data_points = sum(rejected.values())
+            answer.partial_success.error_message = ", ".join(f"{why}: {n}" for why, n in sorted(rejected.items()))
+        return json_format.MessageToJson(answer).encode() if as_json else answer.SerializeToString()
+
+    def status(self) -> dict:
+        return {**self.counts, "why": self.why}
--- /dev/null
+++ b/hollyridge/sasp/front.py
@@ -0,0 +1,581 @@
+"""The service side of SASP: streams of load balancers, members and agents, on gevent sockets.
+
+What a load balancer holds is kept as a sheet of its own; orders change the sheet, and one writer a stream says what
+changed since it last spoke. So a reader that stands still holds up nobody, and costs one sheet, not a queue.
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import socket as plain
+import struct
+import termios
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from hollyridge.core.loop import Loop
+from hollyridge.interface import DropTable, PutLine
+from hollyridge.sasp import codec
+from hollyridge.sasp.codec import Code, Told, Wants
+from hollyridge.steering import members
+from hollyridge.steering.advice import GroupAdvice
+from hollyridge.steering.desk import Abilities, Parcel, Whole
+from hollyridge.steering.doorkeeper import Bucket, Doorkeeper
+from hollyridge.steering.presence import Presence
+
+
+class SaspTerms(NamedTuple):
+    """What the front is told at start. `groups`: the method whose table a group shows, by group name; times in
+    seconds, sizes in bytes."""
+
+    host: str
+    port: int
+    fleet: str
+    members_group: str
+    groups: dict[str, int]
+    balancers_register: bool
+    message_most: int
+    send_buffer: int
+    frame_s: float
+    hello_s: float
+    members_each: int
+    usual_rate: float
+
+
+class Sheet:
+    """One group of one load balancer: what it is to hold, and what of that it was not yet told."""
+
+    __slots__ = ("advice", "lines", "changed", "whole", "table")
+
+    def __init__(self) -> None:
+        self.advice = GroupAdvice()
+        self.lines: dict[int, float] | None = None  # None until the module has given it a table
+        self.changed: dict[int, None] = {}
+        self.whole, self.table = False, -1
+
+
+class Stream:
+    """One connection, whoever is at its other end."""
+
+    def __init__(self, number: int, sock, address: tuple, answers: Bucket) -> None:
+        self.number, self.sock, self.address, self.answers = number, sock, address, answers
+        self.uid = ""
+        self.proxy = -1
+        self.flags = 0
+        self.sheets: dict[str, Sheet] = {}
+        self.speaks_of_members = False
+        self.replies: deque[bytes] = deque()
+        self.due, self.given = Event(), Event()
+        self.sent = self.next_id = 0
+        self.marks: deque[tuple[int, int, int]] = deque()  # (bytes sent by then, mark, when ordered)
+        self.pending: list[tuple[int, int]] = []  # marks that the next message or answer will cover
+        self.version = 0
+        self.closed = ""
+
+    @property
+    def push(self) -> bool:
+        return bool(self.flags & Wants.PUSH)
+
+
+class SaspFront:
+    """Serves `terms` for the machine of `loop`. `zone_of(host)` is the zone of an address, -1 for none."""
+
+    REPLIES = 64  # answers that may wait for a reader before its requests are read no more
+    LOOK = 0.02  # s between two looks at what the other side has acknowledged
+
+    def __init__(self, loop: Loop, terms: SaspTerms, presence: Presence, keeper: Doorkeeper,
+                 zone_of: Callable[[str], int], log) -> None:
+        self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
+        self.terms, self.presence, self.keeper, self.zone_of = terms, presence, keeper, zone_of
+        self.log = log
+        self.abilities = Abilities(levels=False, further_tries=False, withdrawals=False, receipts=True,
+                                   groups=len(terms.groups))
+        self.streams: dict[int, Stream] = {}
+        self.by_proxy: dict[int, Stream] = {}
+        self.bearers: dict[int, codec.Member] = {}  # task: its member
+        self.agents: dict[tuple, bool] = {}
+        self.number = 0
+        self.unsettled: dict[int, Stream] = {}
+        self.counts = dict.fromkeys(
+            ("connections", "refused", "frames_in", "frames_out", "bad_frames", "closed", "asked_too_often"), 0)
+        self.server = StreamServer((terms.host, terms.port), self.serve, backlog=1024)
+
+    # Life.
+
+    def start(self) -> int:
+        """Listen; returns the port. OSError if the address is taken."""
+        self.server.start()
+        gevent.spawn(self.look)
+        self.log.info("sasp listens", host=self.terms.host, port=self.server.server_port)
+        return self.server.server_port
+
+    def stop(self) -> None:
+        self.server.stop(timeout=0)
+        for stream in list(self.streams.values()):
+            self.close(stream, "the assigner stops")
+
+    def close(self, stream: Stream, why: str) -> None:
+        if not stream.closed:
+            stream.closed = why
+            self.counts["closed"] += 1
+            try:
+                stream.sock.shutdown(plain.SHUT_RDWR)
+            except OSError:
+                pass
+            stream.due.set()
+
+    def serve(self, sock, address: tuple) -> None:
+        now = self.clock()
+        why = self.keeper.knock(now, address[0])
+        if why:
+            self.counts["refused"] += 1
+            if self.counts["refused"] & (self.counts["refused"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+                self.log.warning("connection refused", peer=address[0], why=why, times=self.counts["refused"])
+            sock.close()
+            return
+        self.number += 1
+        self.counts["connections"] += 1
+        stream = self.streams[self.number] = Stream(self.number, sock, address, self.keeper.answers())
+        writer = None
+        try:
+            sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+            sock.setsockopt(plain.SOL_SOCKET, plain.SO_SNDBUF, self.terms.send_buffer)
+            sock.setsockopt(plain.SOL_SOCKET, plain.SO_KEEPALIVE, 1)
+            for option, value in ((plain.TCP_KEEPIDLE, 5), (plain.TCP_KEEPINTVL, 2), (plain.TCP_KEEPCNT, 3)):
+                sock.setsockopt(plain.IPPROTO_TCP, option, value)
+            writer = gevent.spawn(self.write_on, stream)
+            self.read_on(stream)
+        except OSError as trouble:
+            stream.closed = stream.closed or f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}"
+        except codec.SaspError as trouble:
+            self.counts["bad_frames"] += 1
+            stream.closed = stream.closed or f"bad frame: {trouble}"
+        finally:
+            stream.closed = stream.closed or "closed by the other side"
+            stream.due.set()
+            self.keeper.gone(address[0])
+            self.end(stream)
+            if writer is not None:
+                writer.kill(block=False)
+            sock.close()
+
+    def end(self, stream: Stream) -> None:
+        now = self.clock()
+        self.streams.pop(stream.number, None)
+        self.unsettled.pop(stream.number, None)
+        self.presence.left(stream.number)
+        if stream.proxy >= 0 and self.by_proxy.get(stream.proxy) is stream:
+            del self.by_proxy[stream.proxy]
+            self.machine.leave(now, stream.proxy)
+        if stream.speaks_of_members:
+            self.machine.happened(now, members.StreamLost(stream.number))
+        self.log.info("stream ended", peer=stream.address[0], uid=stream.uid or None, why=stream.closed)
+        self.loop.nudge()
+
+    # In.
+
+    def read_on(self, stream: Stream) -> None:
+        framer, pace = codec.Framer(self.terms.message_most), self.keeper.requests()
+        begun = opened = self.clock()
+        while not stream.closed:
+            if framer.partial:  # a frame that was begun must end, however slowly bytes drip
+                left = self.terms.frame_s - (self.clock() - begun) / 1e6
+                stream.sock.settimeout(max(0.001, left))
+            elif not stream.uid and not stream.speaks_of_members:
+                left = self.terms.hello_s - (self.clock() - opened) / 1e6
+                stream.sock.settimeout(max(0.001, left))
+            else:
+                stream.sock.settimeout(None)
+            try:
+                chunk = stream.sock.recv(65536)
+            except TimeoutError:
+                stream.closed = "a frame was begun and not ended" if framer.partial else "said nothing"
+                return
+            if not chunk:
+                return
+            if not framer.partial:
+                begun = self.clock()
+            for frame in framer.feed(chunk):
+                while not pace.draw(self.clock()) and not stream.closed:
+                    gevent.sleep(0.02)  # the sender is slowed by its own full window
+                while len(stream.replies) >= self.REPLIES and not stream.closed:
+                    gevent.sleep(0.02)
+                self.counts["frames_in"] += 1
+                self.take(stream, frame)
+                begun = self.clock()
+            if framer.partial and len(framer.held) == len(chunk):
+                begun = self.clock()
+
+    def take(self, stream: Stream, frame: bytes) -> None:
+        try:
+            number, message = codec.decode(frame)
+        except codec.SaspError as trouble:
+            self.counts["bad_frames"] += 1
+            if trouble.reply is None:
+                raise
+            self.log.warning("bad request", peer=stream.address[0], uid=stream.uid or None, why=str(trouble))
+            self.answer(stream, trouble.reply)
+            return
+        now = self.clock()
+        self.presence.asked(now, stream.number)
+        for _, mark, at in stream.marks if not stream.push else ():  # it took the last answer: it asks again
+            self.machine.receipt(now, stream.proxy, mark, now - at)
+        if not stream.push:
+            stream.marks.clear()
+        kind = type(message)
+        if kind is codec.GetWeights:
+            reply = self.weights(stream, message)
+        elif kind is codec.SetBalancer:
+            reply = codec.reply_to(message, self.set_balancer(stream, message))
+        elif kind is codec.Register:
+            reply = codec.reply_to(message, self.register(stream, message))
+        elif kind is codec.Deregister:
+            reply = codec.reply_to(message, self.deregister(stream, message))
+        elif kind is codec.SetMembers:
+            reply = codec.reply_to(message, self.set_members(stream, message))
+        else:
+            raise codec.SaspError(f"{kind.__name__} is not for the service to hear")
+        if getattr(reply, "code", 0):
+            self.log.info("request refused", peer=stream.address[0], uid=stream.uid or None,
+                          request=kind.__name__, code=int(reply.code))
+        try:
+            self.answer(stream, codec.encode(number, reply))
+        except ValueError as trouble:
+            self.log.warning("answer too long", peer=stream.address[0], why=str(trouble))
+            self.answer(stream, codec.encode(number, codec.reply_to(message, Code.NOT_FROM_YOU)))
+        self.loop.nudge()
+
+    def answer(self, stream: Stream, frame: bytes) -> None:
+        stream.replies.append(frame)
+        stream.due.set()
+
+    # Load balancers.
+
+    def name(self, stream: Stream, uid: str) -> int:
+        """The name a stream goes by, once for all."""
+        if not uid or len(uid.encode()) > 64 or uid == self.terms.fleet or stream.speaks_of_members:
+            return Code.UID_SIZE if not uid or len(uid.encode()) > 64 else Code.NOT_FROM_YOU
+        if stream.uid and stream.uid != uid:
+            return Code.UNKNOWN_BALANCER
+        stream.uid = uid
+        return Code.OK
+
+    def set_balancer(self, stream: Stream, message: codec.SetBalancer) -> int:
+        code = self.name(stream, message.uid)
+        if code == Code.OK:
+            stream.flags = message.flags
+            if stream.sheets:
+                code = self.attend(stream)
+        return code
+
+    def attend(self, stream: Stream) -> int:
+        """Count it as joined, if it is not yet."""
+        now = self.clock()
+        came = self.presence.came(now, stream.number, stream.uid, stream.push)
+        if came.turned_away:
+            return Code.NOT_FROM_YOU
+        if came.close >= 0 and came.close in self.streams:
+            older = self.streams[came.close]
+            self.close(older, "its name came again on a newer stream")
+            if older.proxy >= 0:
+                self.by_proxy.pop(older.proxy, None)
+                self.machine.leave(now, older.proxy)
+                older.proxy = -1
+        if came.joined:
+            zone = self.zone_of(stream.address[0])
+            proxy = -1 if zone < 0 else self.machine.join(now, self, stream.uid, zone, self.terms.usual_rate)
+            if proxy is None or proxy < 0:
+                self.presence.left(stream.number)
+                return Code.NOT_FROM_YOU
+            stream.proxy = proxy
+            self.by_proxy[proxy] = stream
+            self.log.info("joined", uid=stream.uid, proxy=proxy, zone=zone, push=stream.push)
+        return Code.OK
+
+    def subscribe(self, stream: Stream, groups: list[codec.Group]) -> int:
+        for group in groups:
+            if len(group.name.encode()) > 64:
+                return Code.GROUP_NAME_SIZE
+            if group.name not in self.terms.groups:
+                return Code.INVALID_GROUP
+            code = self.name(stream, group.uid)
+            if code != Code.OK:
+                return code
+        for group in groups:
+            sheet = stream.sheets.setdefault(group.name, Sheet())
+            if sheet.lines is None and stream.proxy >= 0:  # a later group of a proxy that has its tables
+                bound = self.machine.desk.bound.get(stream.proxy, {}).get(self.terms.groups[group.name])
+                if bound is not None:
+                    self.lay(stream, sheet, bound, self.machine.desk.tables.get(bound, {}))
+        return self.attend(stream) if groups else Code.OK
+
+    def weights(self, stream: Stream, message: codec.GetWeights) -> codec.GetWeightsReply:
+        code = self.subscribe(stream, list(message.groups))
+        if code == Code.OK and not stream.answers.draw(self.clock()):
+            self.counts["asked_too_often"] += 1
+            code = Code.NOT_FROM_YOU
+        if code != Code.OK:
+            return codec.GetWeightsReply(code, self.presence.interval, ())
+        if stream.proxy >= 0 and not stream.given.is_set():  # one that asks only once should not go without
+            self.loop.nudge()
+            stream.given.wait(self.presence.patience / 4e6)
+        rows = []
+        for group in message.groups:
+            entries = self.entries(stream, stream.sheets[group.name], whole=True)
+            rows.append(codec.WeightsOf(group, entries))
+        self.machine.channel.charge(self.clock(), sum(len(r.weights) for r in rows) + self.machine.channel.head)
+        if not stream.push:
+            stream.marks.extend((0, *row) for row in stream.pending)
+            stream.pending.clear()
+        return codec.GetWeightsReply(Code.OK, self.presence.interval, tuple(rows))
+
+    # Members and their agents.
+
+    def speaks(self, stream: Stream, by_balancer: bool, group: codec.Group) -> int:
+        """Whether this stream may say something about members of this group."""
+        if by_balancer:
+            return Code.OK if self.terms.balancers_register and stream.uid == group.uid else Code.NOT_FROM_YOU
+        if stream.uid:
+            return Code.NOT_FROM_YOU
+        if group.uid != self.terms.fleet:
+            known = group.uid in self.presence.by_uid
+            return Code.NOT_FROM_YOU if known else Code.NOT_CONTACTED_YET
+        return Code.OK if group.name == self.terms.members_group else Code.INVALID_GROUP
+
+    CODES = {None: Code.OK, members.Refusal.ALREADY_REGISTERED: Code.ALREADY_REGISTERED,
+             members.Refusal.NOT_REGISTERED: Code.NOT_REGISTERED, members.Refusal.FULL: Code.NOT_FROM_YOU,
+             members.Refusal.NO_ZONE: Code.NOT_FROM_YOU, members.Refusal.TWICE: Code.DUPLICATE_MEMBER}
+
+    def register(self, stream: Stream, message: codec.Register) -> int:
+        if message.by_balancer:
+            code = self.subscribe(stream, [row.group for row in message.groups])
+            if code != Code.OK or not any(row.members for row in message.groups):
+                return code
+        for group, _ in message.groups:
+            code = self.speaks(stream, message.by_balancer, group)
+            if code != Code.OK:
+                return code
+        now = self.clock()
+        rows = [member for _, some in message.groups for member in some]
+        if len(rows) > self.terms.members_each:
+            return Code.NOT_FROM_YOU
+        own = len(rows) == 1 and rows[0].host == stream.address[0]
+        applicants, entered = [], []
+        for member in rows:
+            new = member.key not in self.machine.tasks.index
+            zone = self.zone_of(member.host)
+            task = self.machine.tasks.enter(now, member.key) if zone >= 0 else -1
+            task = -1 if task is None else task
+            if task >= 0:
+                entered += [member.key] * new
+                self.bearers[task] = member._replace(label="")
+            applicants.append(members.Applicant(member.key, max(task, 0) if zone < 0 else task, zone, member.label,
+                                                own))
+        refusal = self.machine.happened(now, members.Registered(stream.number, tuple(applicants)))
+        if refusal not in (None, members.Refusal.ALREADY_REGISTERED):
+            for key in entered:
+                self.machine.tasks.leave(now, key)
+        else:
+            stream.speaks_of_members = True
+            for row in applicants:
+                self.agents[row.key] = message.by_balancer
+        return self.CODES[refusal]
+
+    def deregister(self, stream: Stream, message: codec.Deregister) -> int:
+        if message.by_balancer:
+            for group, some in message.groups:
+                if group.uid != stream.uid or group.name not in stream.sheets:
+                    return Code.UNKNOWN_GROUP if group.uid == stream.uid else Code.UNKNOWN_BALANCER
+                if not some:
+                    del stream.sheets[group.name]
+            if not stream.sheets and stream.proxy >= 0:
+                self.presence.left(stream.number)
+                self.by_proxy.pop(stream.proxy, None)
+                self.machine.leave(self.clock(), stream.proxy)
+                stream.proxy = -1
+            if not any(some for _, some in message.groups):
+                return Code.OK
+        for group, _ in message.groups:
+            code = self.speaks(stream, message.by_balancer, group)
+            if code != Code.OK:
+                return code
+        keys = tuple(member.key for _, some in message.groups for member in some)
+        everyone = not message.by_balancer and any(not some for _, some in message.groups)
+        what = members.Deregistered(stream.number, None if everyone else keys)
+        return self.CODES[self.machine.happened(self.clock(), what)]
+
+    def set_members(self, stream: Stream, message: codec.SetMembers) -> int:
+        code = Code.OK
+        for group, states in message.groups:
+            code = self.speaks(stream, message.by_balancer, group)
+            if code != Code.OK:
+                return code
+            for state in states:
+                what = members.Quiesced(stream.number, state.member.key, state.quiesce)
+                refusal = self.machine.happened(self.clock(), what)
+                code = self.CODES[refusal] or code
+        return code
+
+    # Out: what the core asks of a front.
+
+    def lines(self, proxy: int, parcel: Parcel) -> int:
+        stream = self.by_proxy.get(proxy)
+        if stream is None:
+            return 0
+        bound = self.machine.desk.bound.get(proxy, {})
+        tables = [bound.get(method) for name, method in self.terms.groups.items() if name in stream.sheets]
+        count = 0
+        for step in parcel.steps:
+            uses = tables.count(step.table)
+            count += uses * (len(step.lines) if type(step) is Whole else 1)
+        if not stream.flags & Wants.NO_CHANGE:  # it is sent its groups in full, whatever changed
+            count = max(count, sum(len(self.machine.desk.tables.get(t, ())) for t in tables))
+        return count
+
+    def write(self, proxy: int, parcel: Parcel) -> None:
+        stream = self.by_proxy.get(proxy)
+        if stream is None:
+            return
+        stream.version = parcel.number
+        for step in parcel.steps:
+            for name, method in self.terms.groups.items():
+                sheet = stream.sheets.get(name)
+                if sheet is None:
+                    continue
+                if type(step) is Whole:
+                    if step.methods >> method & 1:
+                        self.lay(stream, sheet, step.table, step.lines)
+                elif sheet.lines is not None and sheet.table == step.table:
+                    if type(step) is PutLine:
+                        sheet.changed[step.task] = None
+                        if step.weight > 0:
+                            sheet.lines[step.task] = step.weight
+                        else:
+                            sheet.lines.pop(step.task, None)
+                    elif type(step) is DropTable:
+                        sheet.changed.update(dict.fromkeys(sheet.lines))
+                        sheet.lines.clear()
+        if parcel.mark >= 0:
+            stream.pending.append((parcel.mark, parcel.at))
+            del stream.pending[:-32]  # a later mark covers the earlier ones
+        stream.due.set()
+
+    def lay(self, stream: Stream, sheet: Sheet, table: int, lines: dict[int, float]) -> None:
+        sheet.table, sheet.lines, sheet.whole = table, dict(lines), True
+        stream.given.set()
+        stream.due.set()
+
+    def detach(self, proxy: int, why: str) -> None:
+        stream = self.by_proxy.get(proxy)
+        if stream is not None:
+            self.close(stream, why)
+
+    def entries(self, stream: Stream, sheet: Sheet, whole: bool) -> tuple[codec.Weight, ...]:
+        if sheet.lines is None:
+            return ()
+        now, machine = self.clock(), self.machine
+        whole = whole or sheet.whole or not stream.flags & Wants.NO_CHANGE
+        told = sheet.advice.advise(sheet.lines, sheet.changed, whole,
+                                   lambda task: machine.cold(now, task), machine.closed)
+        sheet.changed.clear()
+        sheet.whole = False
+        entries = []
+        for task, figure in told.figures.items():
+            member = self.bearers[task]
+            flags = Told.CONTACT * machine.running(task) | Told.QUIESCE * machine.closed(task)
+            flags |= Told.CONFIDENT * machine.confident(now, task)
+            flags |= Told.REGISTERED_BY_BALANCER * self.agents.get(member.key, False)
+            entries.append(codec.Weight(member, figure, int(flags)))
+        return tuple(entries)
+
+    def compose(self, stream: Stream) -> list[bytes]:
+        """Frames for all that a pushed stream was not told yet; several only where one would be too long."""
+        rows, frames, size = [], [], 0
+        for name, sheet in stream.sheets.items():
+            if sheet.lines is None or not (sheet.whole or sheet.changed):
+                continue
+            group = codec.Group(stream.uid, name)
+            entries = self.entries(stream, sheet, whole=False)
+            for at in range(0, len(entries), 900):
+                part = codec.WeightsOf(group, entries[at:at + 900])
+                if rows and size + len(part.weights) > 1500:
+                    frames.append(self.frame(stream, rows))
+                    rows, size = [], 0
+                rows.append(part)
+                size += len(part.weights)
+        return frames + [self.frame(stream, rows)] * bool(rows)
+
+    def frame(self, stream: Stream, rows: list) -> bytes:
+        return codec.encode(stream.version & 0xFFFFFFFF, codec.SendWeights(tuple(rows)))
+
+    def write_on(self, stream: Stream) -> None:
+        try:
+            while not stream.closed:
+                stream.due.wait()
+                stream.due.clear()
+                while stream.replies and not stream.closed:
+                    self.put(stream, stream.replies.popleft())
+                if stream.push and stream.proxy >= 0:
+                    marks, stream.pending = stream.pending, []
+                    for frame in self.compose(stream):
+                        self.put(stream, frame)
+                    stream.marks.extend((stream.sent, mark, at) for mark, at in marks)
+        except OSError as trouble:
+            self.close(stream, f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}")
+
+    def put(self, stream: Stream, frame: bytes) -> None:
+        view = memoryview(frame)
+        self.unsettled[stream.number] = stream
+        self.counts["frames_out"] += 1
+        while view and not stream.closed:
+            try:
+                took = stream.sock.send(view)
+            except TimeoutError:  # the reader's time limit, which the socket shares; the frame has its own
+                continue
+            stream.sent += took
+            view = view[took:]
+
+    # Looking after streams.
+
+    def look(self) -> None:
+        """What was acknowledged, who is overdue."""
+        turn = 0
+        while True:
+            gevent.sleep(self.LOOK)
+            now = self.clock()
+            for number, stream in list(self.unsettled.items()):
+                try:
+                    waits = struct.unpack("i", fcntl.ioctl(stream.sock.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
+                except OSError:
+                    self.unsettled.pop(number, None)
+                    continue
+                taken = stream.sent - waits
+                self.presence.unread(now, number, taken, waits > 0)
+                if stream.push:
+                    while stream.marks and stream.marks[0][0] <= taken:
+                        _, mark, at = stream.marks.popleft()
+                        self.machine.receipt(now, stream.proxy, mark, now - at)
+                        self.loop.nudge()
+                if waits == 0:
+                    self.unsettled.pop(number, None)
+            turn += 1
+            if turn % 5 == 0:
+                for number, why in self.presence.overdue(now):
+                    if number in self.streams:
+                        self.close(self.streams[number], why)
+                for task in [t for t in self.bearers if len(self.bearers) > 4 * len(self.machine.tasks) + 1024
+                             and self.machine.tasks.names[t] not in self.machine.tasks.index
+                             and not self.machine.named(t)]:
+                    self.agents.pop(self.bearers.pop(task).key, None)
+
+    def status(self) -> dict:
+        return {**self.counts, "streams": len(self.streams), "refused_why": self.keeper.refused}
+
+
--- /dev/null
+++ b/hollyridge/settings/assigner.py
@@ -0,0 +1,302 @@
+"""The settings of an assigner (`hollyridge serve`), and the terms that come of them."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, PositiveFloat, PositiveInt, field_validator
+
+from hollyridge import interface as api
+from hollyridge.core.machine import Limits
+from hollyridge.otlp.intake import OtlpTerms
+from hollyridge.sasp.front import SaspTerms
+from hollyridge.settings.ini import FaultsError, Section, check, read_file
+from hollyridge.steering.members import Terms
+
+Part = Annotated[float, Field(gt=0, le=1)]
+NotNegative = Annotated[float, Field(ge=0)]
+
+
+class AssignerSection(Section):
+    name: str = "assigner"
+    seed: int = 0
+    assigners: PositiveInt = 1
+    report_period_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
+
+
+class ChannelSection(Section):
+    """Lines are entries as sent; a message costs `head_lines` beyond its own."""
+
+    lines_per_s: PositiveFloat = 3000
+    head_lines: NotNegative = 3
+    most_waiting: PositiveFloat = 6000
+    messages_most: Annotated[int, Field(ge=0)] = 30
+    messages_over_s: PositiveFloat = 10
+    transit_s: PositiveFloat = 0.02
+    worst_transit_s: PositiveFloat = 0.5
+
+
+class PromisesSection(Section):
+    """The figures of the rules."""
+
+    bare_s: Annotated[float, Field(ge=1)] = 5
+    drain_grace_s: Annotated[float, Field(ge=1)] = 3
+    warm_up_s: PositiveFloat = 16
+    cold_from: Part = 0.2
+    fall_multiple: Annotated[float, Field(ge=1)] = 4
+    fall_s: PositiveFloat = 2
+
+
+class ProxiesSection(Section):
+    pick: Literal["p2c", "rotate", "random"] = "p2c"
+    outlier_after: Annotated[int, Field(ge=0)] = 0
+    first_table: Annotated[int, Field(ge=0)] = 5
+    usual_rate: NotNegative = 10
+    most: Annotated[int, Field(ge=1, le=60000)] = 2000
+    tasks_most: Annotated[int, Field(ge=1, le=100000)] = 5000
+    cross_zone_price: NotNegative = 0.1
+
+
+class MethodSection(Section):
+    group: str = ""
+    soft_deadline_ms: PositiveFloat
+    deadline_ms: PositiveFloat
+    criticality: PositiveFloat = 1
+    repeats: Literal["idempotent", "tokened", "non-idempotent"] = "non-idempotent"
+    dropped_by: Literal["all", "zone", "cell"] = "all"
+    window_ms: NotNegative = 0
+
+
+class SaspSection(Section):
+    listen: str = "127.0.0.1:3860"
+    fleet: Annotated[str, Field(min_length=1, max_length=64)] = "fleet"
+    members_group: Annotated[str, Field(min_length=1, max_length=64)] = "tasks"
+    balancers_register: bool = False
+    connections_most: PositiveInt = 4000
+    connections_each: PositiveInt = 1000
+    connects_per_s: PositiveFloat = 500
+    requests_per_s: PositiveFloat = 50
+    message_most_bytes: Annotated[int, Field(ge=1024, le=1 << 20)] = 1 << 18
+    send_buffer_bytes: Annotated[int, Field(ge=4096, le=1 << 22)] = 1 << 16
+    frame_s: PositiveFloat = 5
+    hello_s: PositiveFloat = 10
+    members_each: PositiveInt = 5000
+
+    @field_validator("listen")
+    @classmethod
+    def listens(cls, value: str) -> str:
+        split(value)
+        return value
+
+
+class OtlpSection(Section):
+    listen: str = "127.0.0.1:4318"
+    body_most_bytes: Annotated[int, Field(ge=1024, le=1 << 26)] = 1 << 20
+    body_s: PositiveFloat = 5
+    connections_most: PositiveInt = 1000
+    points_per_s: PositiveFloat = 50000
+    series_most: PositiveInt = 200000
+    series_each: PositiveInt = 20000
+    rate_most: PositiveFloat = 1e6
+    lines_per_period: PositiveInt = 2000
+
+    @field_validator("listen")
+    @classmethod
+    def listens(cls, value: str) -> str:
+        split(value)
+        return value
+
+
+class RosterSection(Section):
+    """How long members are held whose stream broke, and how long a start waits for the list to settle."""
+
+    hold_own_s: PositiveFloat = 1
+    hold_agent_s: PositiveFloat = 30
+    settle_s: PositiveFloat = 0.5
+    settle_most_s: PositiveFloat = 3
+
+
+class LogSection(Section):
+    format: Literal["console", "json"] = "console"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    status_every_s: NotNegative = 10
+
+
+SECTIONS = {"assigner": AssignerSection, "channel": ChannelSection, "promises": PromisesSection,
+            "proxies": ProxiesSection, "sasp": SaspSection, "otlp": OtlpSection, "roster": RosterSection,
+            "log": LogSection}
+REPEATS = {"idempotent": api.Repeat.IDEMPOTENT, "tokened": api.Repeat.TOKENED,
+           "non-idempotent": api.Repeat.NON_IDEMPOTENT}
+DROPPED_BY = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+PICKS = {"random": api.Pick.RANDOM, "rotate": api.Pick.ROTATE, "p2c": api.Pick.P2C}
+
+
+def split(listen: str) -> tuple[str, int]:
+    """Host and port; ValueError if it is not `address:port`.
+
+    >>> split("127.0.0.1:3860"), split("[::1]:0")
+    (('127.0.0.1', 3860), ('::1', 0))
+    """
+    host, _, port = listen.rpartition(":")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+        if not 0 <= int(port) <= 65535:
+            raise ValueError
+    except ValueError:
+        raise ValueError("address:port is wanted") from None
+    return host, int(port)
+
+
+def micros(seconds: float) -> int:
+    return round(seconds * 1_000_000)
+
+
+class AssignerTerms:
+    """All that a checked file says, by section, and what each part is told of it.
+
+    Attributes: `assigner`, `channel`, `promises`, `proxies`, `sasp`, `otlp`, `roster`, `log` (sections),
+    `methods` (name to section, in file order), `zones` (name to networks, in file order).
+    """
+
+    def __init__(self, sections: dict[str, Section], methods: dict[str, MethodSection],
+                 zones: dict[str, list]) -> None:
+        self.__dict__.update(sections)
+        self.methods, self.zones = methods, zones
+        self.zone_names = list(zones)
+        self.method_names = list(methods)
+
+    def groups(self) -> dict[str, int]:
+        """Group name to the method whose table it shows: of several, the one of most criticality."""
+        found: dict[str, int] = {}
+        for k, (name, method) in enumerate(self.methods.items()):
+            group = method.group or name
+            rival = found.get(group)
+            if rival is None or method.criticality > self.methods[self.method_names[rival]].criticality:
+                found[group] = k
+        return found
+
+    def bootstrap(self) -> api.Bootstrap:
+        """What the module reads. A line of a table goes to a proxy once a group, so the module is told of a
+        channel that is so many times narrower. No front carries levels or ways to try again yet."""
+        copies, channel, promises, proxies = len(self.groups()), self.channel, self.promises, self.proxies
+        methods = tuple(
+            api.MethodTerms(
+                soft_deadline=micros(m.soft_deadline_ms / 1e3), deadline=micros(m.deadline_ms / 1e3),
+                criticality=m.criticality, repeat=REPEATS[m.repeats], group=DROPPED_BY[m.dropped_by],
+                window=micros(m.window_ms / 1e3), own_zone=False)
+            for m in self.methods.values())
+        return api.Bootstrap(
+            methods=methods, zones=len(self.zones), assigners=self.assigner.assigners, subscribe=False,
+            ask_within=micros(10), period=micros(self.assigner.report_period_s),
+            lines_per_s=channel.lines_per_s / copies, overhead=channel.head_lines / copies,
+            most_waiting=channel.most_waiting / copies, messages_most=channel.messages_most,
+            counted_over=micros(channel.messages_over_s), transit=micros(channel.transit_s),
+            worst_transit=micros(channel.worst_transit_s), bare=micros(promises.bare_s),
+            drain_grace=micros(promises.drain_grace_s), gone_is_advice=False, cold_from=promises.cold_from,
+            warm_up=micros(promises.warm_up_s), fall=micros(promises.fall_s),
+            fall_multiple=promises.fall_multiple, pick=PICKS[proxies.pick],
+            outlier_after=proxies.outlier_after, initial_set=proxies.first_table,
+            admission=api.Admission.SILENT, retry_default=0, per_try=1.0, partitions=0, one_owner=False,
+            load_names=("util", "queue"), cross_zone_price=proxies.cross_zone_price)
+
+    def limits(self) -> Limits:
+        channel, otlp, roster = self.channel, self.otlp, self.roster
+        members = Terms(micros(self.promises.warm_up_s), micros(roster.hold_own_s), micros(roster.hold_agent_s),
+                        micros(roster.settle_s), micros(roster.settle_most_s), self.proxies.tasks_most)
+        return Limits(channel.lines_per_s, channel.head_lines, channel.most_waiting,
+                      2 * self.proxies.tasks_most, self.proxies.most, otlp.series_most, otlp.series_each,
+                      otlp.rate_most, otlp.lines_per_period, 8 * otlp.lines_per_period, members)
+
+    def sasp_terms(self) -> SaspTerms:
+        s = self.sasp
+        return SaspTerms(*split(s.listen), s.fleet, s.members_group, self.groups(), s.balancers_register,
+                         s.message_most_bytes, s.send_buffer_bytes, s.frame_s, s.hello_s, s.members_each,
+                         self.proxies.usual_rate)
+
+    def otlp_terms(self) -> OtlpTerms:
+        o = self.otlp
+        return OtlpTerms(*split(o.listen), o.body_most_bytes, o.body_s, o.connections_most, o.points_per_s)
+
+    def zone_finder(self) -> Callable[[str], int]:
+        """Zone of an address by the most particular network that holds it; -1 for none."""
+        nets = sorted(((net, z) for z, some in enumerate(self.zones.values()) for net in some),
+                      key=lambda row: -row[0].prefixlen)
+        known: dict[str, int] = {}
+
+        def find(host: str) -> int:
+            zone = known.get(host)
+            if zone is None:
+                ip = ipaddress.ip_address(host)
+                ip = getattr(ip, "ipv4_mapped", None) or ip
+                zone = next((z for net, z in nets if ip.version == net.version and ip in net), -1)
+                if len(known) < 100_000:
+                    known[host] = zone
+            return zone
+        return find
+
+
+def load(path: Path | str, overrides: dict[tuple[str, str], str] | None = None) -> AssignerTerms:
+    """Read and check a file. Raises FaultsError with all that is wrong, not only the first fault."""
+    parser = read_file(path)
+    for (section, key), value in (overrides or {}).items():
+        if not parser.has_section(section):
+            parser.add_section(section)
+        parser.set(section, key, value)
+    faults: list[str] = []
+    sections, methods, zones = {}, {}, {}
+    for name in parser.sections():
+        first, _, rest = name.partition(" ")
+        if first == "method" and rest:
+            method = check(name, MethodSection, dict(parser[name]), faults)
+            if method is not None:
+                methods[rest.strip()] = method
+                if method.soft_deadline_ms > method.deadline_ms:
+                    faults.append(f"[{name}] soft_deadline_ms: above deadline_ms")
+                if method.repeats == "tokened" and not method.window_ms:
+                    faults.append(f"[{name}] window_ms: tokened methods need the time within which repeats drop")
+        elif name == "zones":
+            for zone, networks in parser[name].items():
+                zones[zone] = []
+                for text in networks.replace(",", " ").split():
+                    try:
+                        zones[zone].append(ipaddress.ip_network(text))
+                    except ValueError as trouble:
+                        faults.append(f"[zones] {zone}: {trouble}")
+        elif name not in SECTIONS:
+            faults.append(f"[{name}]: no such section")
+    for name, model in SECTIONS.items():
+        sections[name] = check(name, model, dict(parser[name]) if parser.has_section(name) else {}, faults)
+    if not methods and not any(row.startswith("[method") for row in faults):
+        faults.append("[method NAME]: at least one is needed")
+    if len(methods) > 16:
+        faults.append("[method NAME]: 16 at most")
+    if not zones:
+        faults.append("[zones]: at least one zone with its networks is needed")
+    elif len(zones) > 255:
+        faults.append("[zones]: 255 at most")
+    if faults:
+        raise FaultsError(faults)
+    terms = AssignerTerms(sections, methods, zones)
+    across(terms, faults)
+    if faults:
+        raise FaultsError(faults)
+    return terms
+
+
+def across(terms: AssignerTerms, faults: list[str]) -> None:
+    """Faults that only show between sections."""
+    channel, promises = terms.channel, terms.promises
+    if channel.worst_transit_s >= promises.drain_grace_s:
+        faults.append("[channel] worst_transit_s: not under [promises] drain_grace_s; no drain could be kept")
+    if channel.transit_s > channel.worst_transit_s:
+        faults.append("[channel] transit_s: above worst_transit_s")
+    if channel.most_waiting < 4 * (channel.head_lines + 1):
+        faults.append("[channel] most_waiting: less than four messages of one line")
+    if promises.warm_up_s < promises.fall_s:
+        faults.append("[promises] warm_up_s: under fall_s")
+    if split(terms.sasp.listen)[1] and terms.sasp.listen == terms.otlp.listen:
+        faults.append("[otlp] listen: the same as [sasp] listen")
--- a/hollyridge/steering/doorkeeper.py
+++ b/hollyridge/steering/doorkeeper.py
@@ -33,7 +33,8 @@
 
 class Doorkeeper:
     """`most` connections in all and `most_each` from one address; `per_s` new ones in all, an eighth of it from
-    one address that already holds connections; `requests_per_s` on each connection.
+    one address that already holds connections; `requests_per_s` on each connection; `answers_per_s` with weights
+    in them on each, a third of ten seconds' worth at once (0: no limit).
 
     >>> keeper = Doorkeeper(most=2, most_each=1, per_s=100, requests_per_s=1)
     >>> [keeper.knock(0, who) for who in ("a", "a", "b", "c")]
@@ -44,7 +45,9 @@
 
     ADDRESSES = 4096  # paces kept by address; the longest unused goes first
 
-    def __init__(self, most: int, most_each: int, per_s: float, requests_per_s: float) -> None:
+    def __init__(self, most: int, most_each: int, per_s: float, requests_per_s: float,
+                 answers_per_s: float = 0.0) -> None:
+        self.answers_per_s = answers_per_s
         self.most, self.most_each = most, most_each
         self.whole = Bucket(per_s, max(1.0, per_s / 4))
         self.per_s, self.requests_per_s = per_s, requests_per_s
@@ -87,3 +90,8 @@
     def requests(self) -> Bucket:
         """The pace of one connection's requests."""
         return Bucket(self.requests_per_s, max(2.0, 2 * self.requests_per_s))
+
+    def answers(self) -> Bucket:
+        """The pace of the answers with weights to one who asks: the messages a proxy may get count them too."""
+        pace = self.answers_per_s or 1e9
+        return Bucket(pace * 2 / 3, pace * 10 / 3)
