--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .venv/ready: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || python3 -m venv .venv
-	$(PY) -m pip -q install --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip -q install --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
 	$(PY) -m pip -q install --disable-pip-version-check --no-deps -e .
 	touch $@
 
--- /dev/null
+++ b/hollyridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands."""
--- /dev/null
+++ b/hollyridge/cli/main.py
@@ -0,0 +1,76 @@
+"""`hollyridge`: serve, check, day. Exit codes: 0 fine, 1 a rule was broken, 2 faulty settings or words, 3 an
+address is taken, 4 the decision module gave up."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+import click
+
+from hollyridge.cli import logs
+from hollyridge.settings import assigner
+from hollyridge.settings.ini import FaultsError
+
+FAULTY, TAKEN, GAVE_UP = 2, 3, 4
+
+
+def load(path: str) -> assigner.AssignerTerms:
+    try:
+        return assigner.load(path)
+    except FaultsError as trouble:
+        for fault in trouble.faults:
+            click.echo(f"{path}: {fault}", err=True)
+        sys.exit(FAULTY)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="hollyridge")
+def main() -> None:
+    """A control service that publishes weights to plain proxies."""
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Check the settings in FILE; names every fault by section and key."""
+    terms = load(file)
+    click.echo(f"{file}: fine; {len(terms.methods)} methods in {len(terms.groups())} groups, "
+               f"{len(terms.zones)} zones, {len(terms.groups())} entries to a proxy for each line")
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def serve(file: str) -> None:
+    """Run an assigner with the settings in FILE until SIGTERM or SIGINT."""
+    terms = load(file)
+    run(terms)
+
+
+def run(terms: assigner.AssignerTerms, make=None) -> None:
+    import gevent
+
+    from hollyridge.core.machine import ModuleError
+    from hollyridge.rules import Assigner
+    from hollyridge.service import Service
+
+    log = logs.start(terms.log.format, terms.log.level, assigner=terms.assigner.name)
+    try:
+        service = Service(terms, log, make or Assigner)
+        service.start()
+    except OSError as trouble:
+        log.error("cannot listen", error=str(trouble))
+        sys.exit(TAKEN)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, service.stop)
+    try:
+        service.run()
+    except ModuleError as trouble:
+        log.error("gave up", error=str(trouble))
+        service.stop()
+        sys.exit(GAVE_UP)
+    log.info("stopped", **service.status())
+
+
+if __name__ == "__main__":
+    main()
