--- /dev/null
+++ b/hollyridge/lab/checker.py
@@ -0,0 +1,311 @@
+"""The five rules, checked from recordings of what passed on the sockets; the assigner's own word is not heard.
+
+Rule 5 can be seen from outside only in part: messages to a proxy are counted exactly; of the waiting lines it is
+known that all lines of one decision (its number is the message id) waited when its first message left, and that
+lines can't come faster than the stated pace.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hollyridge.lab.record import frame_of
+from hollyridge.sasp import codec
+from hollyridge.sasp.client import Held
+from hollyridge.steering.members import figure, read_label
+
+SECOND = 1_000_000
+
+
+class Verdict(NamedTuple):
+    """`nearest` is how much of the limit was used at the worst moment (over 1: broken)."""
+
+    rule: int
+    kept: bool
+    nearest: float
+    where: str
+
+
+class Figures(NamedTuple):
+    """The rules' figures, times in microseconds."""
+
+    bare: int
+    grace: int
+    warm_up: int
+    fall: int
+    fall_multiple: float
+    most_waiting: float
+    messages_most: int
+    messages_over: int
+    lines_per_s: float
+    head: float
+    repeats: tuple[str, ...]  # by method
+
+
+class Told(NamedTuple):
+    at: int
+    state: str  # ready, draining, gone
+    run: str
+    started: int
+
+
+def name_of(member: codec.Member) -> str:
+    return f"{member.host}:{member.port}"
+
+
+class Evidence:
+    """Recordings sorted out: what each proxy held when, who was joined when, what the assigner was told when."""
+
+    def __init__(self, rows: Iterable[dict]) -> None:
+        self.rows = list(rows)
+        self.told: dict[str, list[Told]] = defaultdict(list)
+        self.joined: dict[str, list[list[int]]] = defaultdict(list)  # spans [from, till]
+        self.empty: dict[tuple[str, str], list[list[int]]] = defaultdict(list)
+        self.messages: dict[str, list[tuple[int, int, int]]] = defaultdict(list)  # (time, number, lines)
+        self.starts = [row["t"] for row in self.rows if row["k"] == "assigner" and row["up"]]
+        self.zone: dict[str, str] = {}
+        self.end = self.rows[-1]["t"] if self.rows else 0
+        self.read()
+
+    def read(self) -> None:
+        asked: dict[tuple, tuple[int, codec.Message]] = {}
+        held: dict[str, Held] = defaultdict(Held)
+        held_at: dict[str, int] = {}
+        groups: dict[str, list[str]] = {}
+        for row in self.rows:
+            kind = row["k"]
+            if kind == "standing":
+                self.zone[row["proxy"]], groups[row["proxy"]] = row["zone"], row["groups"]
+            elif kind == "said":
+                number, message = codec.decode(frame_of(row))
+                asked[row["who"], row["stream"], number] = row["t"], message
+            elif kind == "stream" and not row["up"]:
+                spans = self.joined.get(row["who"])
+                if spans and spans[-1][1] < 0:
+                    spans[-1][1] = row["t"]
+                for group in groups.get(row["who"], ()):
+                    gaps = self.empty.get((row["who"], group))
+                    if gaps and gaps[-1][1] < 0:
+                        gaps[-1][1] = row["t"]
+            elif kind == "heard":
+                number, message = codec.decode(frame_of(row))
+                if row["who"] == "agent":
+                    request = asked.pop((row["who"], row["stream"], number), None)
+                    if request and message.code in (codec.Code.OK, codec.Code.ALREADY_REGISTERED):
+                        self.learn(*request)
+                    continue
+                who = row["who"]
+                if isinstance(message, codec.RegisterReply) and message.code == 0:
+                    self.joined[who].append([row["t"], -1])
+                elif isinstance(message, (codec.SendWeights, codec.GetWeightsReply)):
+                    if held_at.get(who) != row["stream"]:
+                        held_at[who] = row["stream"]
+                        held[who].new_stream()
+                    held[who].take(message.groups, isinstance(message, codec.GetWeightsReply))
+                    lines = sum(len(g.weights) for g in message.groups)
+                    self.messages[who].append((row["t"], number, lines))
+                    for group in held[who].fresh:
+                        gaps = self.empty[who, group]
+                        bare = not held[who].lines(group)
+                        if bare and (not gaps or gaps[-1][1] >= 0):
+                            gaps.append([row["t"], -1])
+                        elif not bare and gaps and gaps[-1][1] < 0:
+                            gaps[-1][1] = row["t"]
+        for spans in (*self.joined.values(), *self.empty.values()):
+            for span in spans:
+                span[1] = span[1] if span[1] >= 0 else self.end
+
+    def learn(self, at: int, message: codec.Message) -> None:
+        if isinstance(message, codec.Register):
+            for _, members in message.groups:
+                for member in members:
+                    words = read_label(member.label)
+                    up = figure(words, "up", 0, 1e9) or 0.0
+                    self.told[name_of(member)].append(
+                        Told(at, "ready", words.get("run", ""), at - round(up * 1e6)))
+        elif isinstance(message, codec.SetMembers):
+            for _, states in message.groups:
+                for state in states:
+                    past = self.told[name_of(state.member)]
+                    last = past[-1] if past else Told(at, "ready", "", at)
+                    past.append(last._replace(at=at, state="draining" if state.quiesce else "ready"))
+        elif isinstance(message, codec.Deregister):
+            for _, members in message.groups:
+                for member in members:
+                    self.told[name_of(member)].append(Told(at, "gone", "", at))
+
+    def joined_since(self, proxy: str, at: int) -> int:
+        """Since when this proxy has been joined at that time; -1 if it is not."""
+        for since, till in reversed(self.joined.get(proxy, [])):
+            if since <= at:
+                return since if at <= till else -1
+        return -1
+
+    def assigner_since(self, at: int) -> int:
+        index = bisect.bisect_right(self.starts, at)
+        return self.starts[index - 1] if index else -1
+
+
+def check(rows: Iterable[dict], figures: Figures) -> list[Verdict]:
+    """One verdict a rule."""
+    seen = Evidence(rows)
+    return [rule(seen, figures) for rule in (bare, twice, drains, cold, queue)]
+
+
+def verdict(rule: int, nearest: float, where: str) -> Verdict:
+    return Verdict(rule, nearest <= 1.0, round(nearest, 4), where)
+
+
+def bare(seen: Evidence, figures: Figures) -> Verdict:
+    """No joined proxy without a line while a warm ready task is listed."""
+    spans = []  # when some task was listed ready and warm
+    for past in seen.told.values():
+        for told, after in zip(past, [*past[1:], None]):
+            if told.state == "ready":
+                begin = max(told.at, told.started + figures.warm_up)
+                end = after.at if after else seen.end
+                if begin < end:
+                    spans.append((begin, end))
+    spans.sort()
+    merged: list[list[int]] = []
+    for begin, end in spans:
+        if merged and begin <= merged[-1][1]:
+            merged[-1][1] = max(merged[-1][1], end)
+        else:
+            merged.append([begin, end])
+    worst, where = 0, "no proxy was ever without a line"
+    for (proxy, group), gaps in seen.empty.items():
+        for begin, end in gaps:
+            for first, last in merged:
+                lasted = min(end, last) - max(begin, first)
+                if lasted > worst:
+                    worst, where = lasted, f"{proxy} without a line for {group} for {lasted / 1e6:.2f} s"
+    return verdict(1, worst / figures.bare, where)
+
+
+def twice(seen: Evidence, figures: Figures) -> Verdict:
+    """No effect twice."""
+    effects: dict[str, list[dict]] = defaultdict(list)
+    for row in seen.rows:
+        if row["k"] == "effect":
+            effects[row["token"]].append(row)
+    again = [rows for rows in effects.values() if len(rows) > 1]
+    if again:
+        rows = again[0]
+        return Verdict(2, False, float(len(rows)),
+                       f"{rows[0]['token']} took effect at {' and '.join(r['task'] for r in rows)}"
+                       f" ({len(again)} such tokens)")
+    return Verdict(2, True, 0.0, f"{len(effects)} effects, none twice")
+
+
+def drains(seen: Evidence, figures: Figures) -> Verdict:
+    """Drained or gone tasks get nothing after the grace."""
+    worst, where = 0.0, "nothing was sent to a closed task"
+    tries: dict[str, list[dict]] = defaultdict(list)
+    for row in seen.rows:
+        if row["k"] == "try":
+            tries[row["task"]].append(row)
+    for task, past in seen.told.items():
+        for at, (told, after) in enumerate(zip(past, [*past[1:], None])):
+            if told.state == "ready":
+                continue
+            closed = told.at  # since the first news of it to this assigner
+            for before in reversed(past[:at]):
+                if before.state == "ready" or before.at < seen.assigner_since(told.at):
+                    break
+                closed = before.at
+            until = after.at if after else seen.end
+            for row in tries[task]:
+                if not told.at < row["t"] < until:
+                    continue
+                joined = seen.joined_since(row["proxy"], row["t"])
+                if joined < 0 or seen.assigner_since(row["t"]) != seen.assigner_since(told.at):
+                    continue
+                used = (row["t"] - max(closed, joined)) / figures.grace
+                if used > worst:
+                    worst = used
+                    where = (f"{row['proxy']} sent to {task} {(row['t'] - max(closed, joined)) / 1e6:.2f} s after"
+                             f" it was told {told.state}")
+    return verdict(3, worst, where)
+
+
+def cold(seen: Evidence, figures: Figures) -> Verdict:
+    """No cold task is pushed over by proxies that knew, or whose assigner had known long enough."""
+    worst, where, starts = 0.0, "no cold task was near its limit", {}
+    recent: dict[tuple, deque] = defaultdict(deque)
+    for row in seen.rows:
+        if row["k"] == "task_up" and row["cold"]:
+            starts[row["task"], row["run"]] = row
+        elif row["k"] == "rpc" and (row["task"], row["run"]) in starts:
+            key = row["task"], row["run"]
+            up = starts[key]
+            age = row["t"] - up["born"]
+            if age >= up["cold_us"]:
+                continue
+            window = recent[key]
+            window.append((row["t"], row["work"], row["proxy"]))
+            while window[0][0] <= row["t"] - figures.fall:
+                window.popleft()
+            part = up["cold_from"] + (1 - up["cold_from"]) * age / up["cold_us"]
+            allowed = figures.fall_multiple * up["cores"] * up["speed"] * part * figures.fall
+            whole = sum(work for _, work, _ in window)
+            known = next((t.at for t in seen.told.get(row["task"], ()) if t.run == row["run"]), None)
+            if known is None:
+                continue
+            aware = sum(work for at, work, proxy in window if knew(seen, figures, proxy, known, at))
+            used = whole / allowed
+            if aware * 3 < whole * 2:
+                continue  # two thirds of it came from such as could not know
+            if used > worst:
+                worst, where = used, f"{row['task']} at {used:.0%} of what it falls at, {age / 1e6:.1f} s old"
+    fell = sum(row["k"] == "fell" for row in seen.rows)
+    return verdict(4, worst, where + (f"; {fell} fell over" if fell else ""))
+
+
+def knew(seen: Evidence, figures: Figures, proxy: str, known: int, at: int) -> bool:
+    """Whether the proxy's last message by then was sent knowing of a start told at `known`."""
+    if at >= known + figures.grace:
+        return seen.joined_since(proxy, at) >= 0
+    messages = seen.messages.get(proxy, [])
+    index = bisect.bisect_right(messages, (at, 1 << 62, 0)) - 1
+    return index >= 0 and messages[index][0] >= known
+
+
+def queue(seen: Evidence, figures: Figures) -> Verdict:
+    """Messages per proxy, lines of one decision, and the pace of all lines, within limits."""
+    worst, where = 0.0, "no message was sent"
+
+    def note(used: float, what: str) -> None:
+        nonlocal worst, where
+        if used > worst:
+            worst, where = used, what
+
+    decided: dict[tuple[int, int], float] = defaultdict(float)
+    every = []
+    for proxy, messages in seen.messages.items():
+        window: deque[int] = deque()
+        for at, number, lines in messages:
+            since = max(seen.joined_since(proxy, at), at - figures.messages_over)
+            window.append(at)
+            while window[0] < since:
+                window.popleft()
+            if figures.messages_most:
+                note(len(window) / figures.messages_most, f"{proxy} got {len(window)} messages in the stated span")
+            decided[seen.assigner_since(at), number] += lines + figures.head
+            every.append((at, lines + figures.head))
+    for (_, number), lines in decided.items():
+        note(lines / figures.most_waiting, f"{lines:.0f} lines of decision {number} waited at once")
+    every.sort()
+    span, largest = 2 * SECOND, max((lines for _, lines in every), default=0)
+    window, total = deque(), 0.0
+    for at, lines in every:
+        window.append((at, lines))
+        total += lines
+        while window[0][0] <= at - span:
+            total -= window.popleft()[1]
+        allowed = 1.25 * figures.lines_per_s * span / SECOND + largest
+        note(total / allowed, f"{total:.0f} lines within two seconds")
+    return verdict(5, worst, where)
--- /dev/null
+++ b/hollyridge/lab/day.py
@@ -0,0 +1,416 @@
+"""Plays a scripted day: a real assigner process, stand-ins around it, troubles at their times; then the checker."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent import subprocess
+from gevent.event import AsyncResult
+
+from hollyridge.lab.agent import Agent
+from hollyridge.lab.checker import Figures, Verdict, check
+from hollyridge.lab.figures import figures_of
+from hollyridge.lab.record import Recorder, now_us, read_all
+from hollyridge.lab.script import Script, TroubleSection
+
+
+class DayError(Exception):
+    """The day could not be played; says why."""
+
+
+class Outcome(NamedTuple):
+    verdicts: list[Verdict]
+    figures: dict
+    troubles: list[dict]
+
+
+class Unit:
+    """A task of the fleet: where it lives and which run of it is on."""
+
+    def __init__(self, name: str, zone: int, host: str) -> None:
+        self.name, self.zone, self.host, self.port = name, zone, host, 0
+        self.run, self.born, self.up = "", 0, False
+
+    @property
+    def key(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class House:
+    """A process of stand-ins, spoken to by lines."""
+
+    def __init__(self, folder: Path, name: str, heard: Callable[[dict], None]) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "hollyridge.lab.house", str(folder / f"{name}.jsonl")],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=open(folder / f"{name}.log", "wb"))
+        self.reader = gevent.spawn(self.read, heard)
+
+    def read(self, heard: Callable[[dict], None]) -> None:
+        for line in self.process.stdout:
+            heard(msgspec.json.decode(line))
+
+    def do(self, what: str, **terms) -> None:
+        if self.process.poll() is not None:
+            raise DayError("a house of stand-ins has ended")
+        self.process.stdin.write(msgspec.json.encode({"do": what, **terms}) + b"\n")
+        self.process.stdin.flush()
+
+    def end(self) -> None:
+        try:
+            self.process.stdin.close()
+            self.process.wait(timeout=5)
+        except (OSError, subprocess.TimeoutExpired):
+            self.process.kill()
+            self.process.wait()
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Day:
+    """`policy` names another decision module of the laboratory; `tick(part)` is told how far the day is."""
+
+    def __init__(self, script: Script, folder: Path, policy: str = "", seed: int | None = None,
+                 tick: Callable[[float], None] = lambda part: None) -> None:
+        self.script, self.folder, self.policy, self.tick = script, folder, policy, tick
+        self.terms = script.terms
+        self.rng = Random(script.day.seed if seed is None else seed)
+        self.record = Recorder(folder / "day.jsonl")
+        self.zones = self.terms.zone_names
+        self.units: dict[str, Unit] = {}
+        self.proxies: dict[str, int] = {}  # uid: zone
+        self.proxy_terms: dict[str, dict] = {}
+        self.started: dict[str, AsyncResult] = {}
+        self.ports = free_port(), free_port()
+        self.assigner = None
+        self.assigner_starts = 0
+        self.runs = 0
+        self.troubles: list[dict] = []
+        self.begun: set[str] = set()
+        self.failures: list[str] = []
+
+    # The cast.
+
+    def address(self, zone: int, number: int) -> str:
+        """An address of the zone's first network that no other stand-in has."""
+        network = next(iter(self.terms.zones[self.zones[zone]]))
+        if not network.subnet_of(ipaddress.ip_network("127.0.0.0/8")):
+            raise DayError(f"zone {self.zones[zone]}: a day is played on networks of 127.0.0.0/8 only")
+        return str(network.network_address + number)
+
+    def settings_file(self) -> Path:
+        parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
+        parser.read(self.script.path.parent / self.script.day.settings)
+        for section, key, value in (("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
+                                    ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
+                                    ("log", "format", "json"), ("log", "status_every_s", "5")):
+            if not parser.has_section(section):
+                parser.add_section(section)
+            parser.set(section, key, value)
+        path = self.folder / "assigner.ini"
+        with open(path, "w") as out:
+            parser.write(out)
+        return path
+
+    def start_assigner(self) -> None:
+        self.assigner_starts += 1
+        program = ["-m", "hollyridge.lab.assigner", self.policy] if self.policy else \
+            ["-m", "hollyridge.cli.main", "serve"]
+        log = open(self.folder / f"assigner-{self.assigner_starts}.log", "wb")
+        self.assigner = subprocess.Popen([sys.executable, *program, str(self.folder / "assigner.ini")], stderr=log)
+        for _ in range(200):
+            if self.assigner.poll() is not None:
+                raise DayError(f"the assigner ended with {self.assigner.returncode}")
+            try:
+                socket.create_connection(("127.0.0.1", self.ports[1]), timeout=1).close()
+                break
+            except OSError:
+                gevent.sleep(0.05)
+        self.record("assigner", up=True)
+
+    def kill_assigner(self) -> None:
+        self.assigner.send_signal(signal.SIGKILL)
+        self.assigner.wait()
+        self.record("assigner", up=False)
+
+    def heard(self, facts: dict) -> None:
+        if "started" in facts:
+            self.started[facts["run"]].set(facts["key"])
+        elif "fell" in facts:
+            unit = self.units[facts["fell"]]
+            unit.up = False
+            gevent.spawn_later(self.notice(), self.agent.gone, unit.key, unit.run)
+
+    def notice(self) -> float:
+        low, high = self.script.day.notice_ms
+        return self.rng.uniform(low, high) / 1e3
+
+    def run_task(self, unit: Unit, cold: bool) -> None:
+        """Start a run of a task, at its old port if it had one."""
+        fleet, methods = self.script.fleet, list(self.terms.methods.values())
+        self.runs += 1
+        unit.run = f"r{self.runs}"
+        waiter = self.started[unit.run] = AsyncResult()
+        promises = self.terms.promises
+        build = dict(cores=fleet.cores, speed=1 + fleet.speed_spread * (2 * self.rng.random() - 1),
+                     slots=fleet.slots, queue=fleet.queue, cold_from=fleet.cold_from,
+                     cold_us=round(fleet.cold_s * 1e6), fall_multiple=promises.fall_multiple,
+                     fall_us=round(promises.fall_s * 1e6), handshake_us=round(fleet.handshake_ms * 1e3),
+                     connections=fleet.connections)
+        self.task_houses[unit.zone].do(
+            "task", name=unit.name, host=unit.host, port=unit.port, run=unit.run, build=build, cold=cold,
+            kinds=[m.repeats for m in methods], window=[round(m.window_ms * 1e3) for m in methods],
+            seed=self.rng.randrange(1 << 30))
+        try:
+            unit.port = int(waiter.get(timeout=15).rpartition(":")[2])
+        except gevent.Timeout:
+            raise DayError(f"task {unit.name} did not start") from None
+        unit.born, unit.up = now_us() if cold else 0, True
+
+    def stop_task(self, unit: Unit) -> None:
+        if unit.up:
+            unit.up = False
+            self.task_houses[unit.zone].do("kill", name=unit.name)
+
+    def lay_out(self) -> None:
+        names = len(self.zones)
+        self.task_houses = [House(self.folder, f"tasks-{z}", self.heard) for z in range(names)]
+        self.proxy_houses = [House(self.folder, f"proxies-{z}", self.heard) for z in range(names)]
+        self.settings_file()
+        self.start_assigner()
+        self.agent = Agent(("127.0.0.1", self.ports[0]), self.terms.sasp.fleet, self.record)
+        self.spare = 10
+        for k in range(self.script.fleet.tasks):
+            self.new_unit(k % names, cold=False)
+        for unit in self.units.values():
+            self.agent.running(unit.key, unit.name, unit.run, unit.born)
+        self.agent.synced.wait(5)
+        weights = [self.rng.lognormvariate(0, 0.5) for _ in range(self.script.fleet.proxies)]
+        for k, weight in enumerate(weights):
+            uid, zone = f"gw-{k}", k % names
+            home = [u.key for u in self.units.values() if u.zone == zone] or [u.key for u in self.units.values()]
+            standing = self.rng.sample(home, min(len(home), self.terms.proxies.first_table or 1))
+            self.proxies[uid] = zone
+            self.proxy_terms[uid] = dict(
+                uid=uid, host=self.address(zone, 0x8000 + k), zone=self.zones[zone],
+                rate=self.script.load.rpcs_per_s * weight / sum(weights), plan=self.plan(), standing=standing,
+                seed=self.rng.randrange(1 << 30))
+            self.proxy_houses[zone].do("proxy", **self.proxy_terms[uid])
+
+    def new_unit(self, zone: int, cold: bool) -> Unit:
+        self.spare += 1
+        unit = Unit(f"shelf-{self.spare}", zone, self.address(zone, self.spare))
+        self.units[unit.name] = unit
+        self.run_task(unit, cold)
+        return unit
+
+    def plan(self) -> dict:
+        load, terms = self.script.load, self.terms
+        methods = [dict(name=name, group=m.group or name, repeats=m.repeats, share=load.shares[k],
+                        work_us=load.work_ms[k] * 1e3, deadline_us=m.deadline_ms * 1e3)
+                   for k, (name, m) in enumerate(terms.methods.items())]
+        return dict(methods=methods, sasp=["127.0.0.1", self.ports[0]], otlp=["127.0.0.1", self.ports[1]],
+                    pick=terms.proxies.pick, outlier_after=terms.proxies.outlier_after, apply_us=40,
+                    client_retries=load.client_retries, reckless=load.reckless, try_share=load.try_share,
+                    period_us=terms.assigner.report_period_s * 1e6)
+
+    # The troubles.
+
+    def some(self, rows: list, part: float) -> list:
+        return self.rng.sample(rows, max(1, round(part * len(rows)))) if rows else []
+
+    def standing_units(self, zone: str = "") -> list[Unit]:
+        return [u for u in self.units.values() if u.up and zone in ("", self.zones[u.zone])]
+
+    def zone_of(self, trouble: TroubleSection) -> str:
+        return trouble.zone or self.rng.choice(self.zones)
+
+    def release(self, trouble: TroubleSection) -> None:
+        """Each old task drains, is replaced by a new one under another address, and goes."""
+        old = self.some(self.standing_units(), trouble.part)
+        gap = trouble.for_s / max(len(old), 1)
+        jobs = []
+        for unit in old:
+            jobs.append(gevent.spawn(self.replace, unit))
+            gevent.sleep(gap)
+        gevent.joinall(jobs)
+
+    def replace(self, unit: Unit) -> None:
+        new = self.new_unit(unit.zone, cold=True)
+        gevent.spawn_later(self.notice(), self.agent.running, new.key, new.name, new.run, new.born)
+        gevent.sleep(self.notice())
+        self.agent.drains(unit.key)
+        gevent.sleep(self.terms.promises.drain_grace_s + 1.5)
+        if unit.up:
+            self.stop_task(unit)
+            gevent.sleep(self.notice())
+            self.agent.gone(unit.key, unit.run)
+
+    def zone_lost(self, trouble: TroubleSection) -> None:
+        lost = self.standing_units(self.zone_of(trouble))
+        for unit in lost:
+            self.stop_task(unit)
+            gevent.spawn_later(self.notice(), self.agent.gone, unit.key, unit.run)
+        gevent.sleep(trouble.for_s)
+        for unit in lost:
+            self.run_task(unit, cold=True)
+            gevent.spawn_later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+
+    def restart_in_place(self, trouble: TroubleSection) -> None:
+        """Killed and back under the same address before the agent has noticed."""
+        for unit in self.some(self.standing_units(), trouble.part):
+            self.stop_task(unit)
+            gevent.sleep(0.2)
+            self.run_task(unit, cold=True)
+            gevent.spawn_later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+
+    def zone_cut(self, trouble: TroubleSection) -> None:
+        """Tasks of one zone can't be reached from the others; streams and reports go on."""
+        zone = self.zones.index(self.zone_of(trouble))
+        octet = self.address(zone, 1).split(".")[1]
+        others = [house for z, house in enumerate(self.proxy_houses) if z != zone]
+        self.for_a_while(trouble, others, "", cut=[octet], after={"cut": []})
+
+    def for_a_while(self, trouble: TroubleSection, houses: list[House], name: str, after: dict, **what) -> None:
+        for house in houses:
+            house.do("set", name=name, **what)
+        gevent.sleep(trouble.for_s)
+        for house in houses:
+            house.do("set", name=name, **after)
+
+    def at_tasks(self, trouble: TroubleSection, after: dict, **what) -> None:
+        gevent.joinall([gevent.spawn(self.for_a_while, trouble, [self.task_houses[u.zone]], u.name, after, **what)
+                        for u in self.some(self.standing_units(trouble.zone), trouble.part)])
+
+    def hang(self, trouble: TroubleSection) -> None:
+        self.at_tasks(trouble, {"hung": False}, hung=True)
+
+    def errors(self, trouble: TroubleSection) -> None:
+        self.at_tasks(trouble, {"errors": 0.0}, errors=trouble.size)
+
+    def pauses(self, trouble: TroubleSection) -> None:
+        until = time.monotonic() + trouble.for_s
+        units = self.some(self.standing_units(trouble.zone), trouble.part)
+        while time.monotonic() < until:
+            for unit in units:
+                if unit.up:
+                    self.task_houses[unit.zone].do("pause", name=unit.name, seconds=trouble.size)
+            gevent.sleep(trouble.size * 3)
+
+    def streams_broken(self, trouble: TroubleSection) -> None:
+        for uid in self.some(list(self.proxies), trouble.part):
+            self.proxy_houses[self.proxies[uid]].do("break", name=uid)
+
+    def late_sums(self, trouble: TroubleSection) -> None:
+        self.for_a_while(trouble, self.proxy_houses, "", {"late": 0.0}, late=trouble.size)
+
+    def surge(self, trouble: TroubleSection) -> None:
+        self.for_a_while(trouble, self.proxy_houses, "", {"factor": 1.0}, factor=trouble.size)
+
+    def unread(self, trouble: TroubleSection) -> None:
+        """Some proxies read nothing from their streams, which stay open."""
+        for uid in self.some(list(self.proxies), trouble.part):
+            self.for_a_while(trouble, [self.proxy_houses[self.proxies[uid]]], uid, {"deaf": False}, deaf=True)
+
+    def assigner_killed(self, trouble: TroubleSection) -> None:
+        self.kill_assigner()
+        gevent.sleep(trouble.for_s)
+        self.start_assigner()
+
+    def proxies_killed(self, trouble: TroubleSection) -> None:
+        killed = self.some(list(self.proxies), trouble.part)
+        for uid in killed:
+            self.proxy_houses[self.proxies[uid]].do("kill", name=uid)
+        gevent.sleep(trouble.for_s)
+        for uid in killed:  # it comes back with a standing table of what is listed now
+            zone = self.proxies[uid]
+            home = [key for key, known in self.agent.told.items() if not known.draining]
+            near = [key for key in home if self.zones[zone] == self.zones[self.zone_at(key)]] or home
+            self.proxy_terms[uid]["standing"] = self.rng.sample(near, min(5, len(near)))
+            self.proxy_terms[uid]["seed"] += 1
+            self.proxy_houses[zone].do("proxy", **self.proxy_terms[uid])
+
+    def zone_at(self, key: str) -> int:
+        return next(u.zone for u in self.units.values() if u.key == key)
+
+    def cause(self, name: str, trouble: TroubleSection) -> None:
+        gevent.sleep(trouble.at_s)
+        begun = now_us()
+        try:
+            self.record("trouble", name=name, trouble=trouble.kind, begins=True)
+            self.begun.add(name)
+            getattr(self, trouble.kind)(trouble)
+        except Exception as failure:  # a day whose trouble did not happen proves nothing
+            self.failures.append(f"trouble {name}: {type(failure).__name__}: {failure}")
+        self.record("trouble", name=name, trouble=trouble.kind, begins=False)
+        self.troubles.append(dict(name=name, kind=trouble.kind, begun=begun, ended=now_us()))
+
+    # The whole.
+
+    def play(self) -> Outcome:
+        """Raises DayError where the day could not be played as scripted."""
+        begun = now_us()
+        try:
+            self.lay_out()
+            begun = now_us()
+            jobs = [gevent.spawn(self.cause, name, trouble) for name, trouble in self.script.troubles.items()]
+            length = self.script.day.length_s
+            while (passed := (now_us() - begun) / 1e6) < length:
+                self.tick(min(1.0, passed / length))
+                gevent.sleep(0.25)
+                if self.failures:
+                    raise DayError("; ".join(self.failures))
+            self.tick(1.0)
+            gevent.killall(jobs)
+        finally:
+            self.end()
+        missing = set(self.script.troubles) - self.begun
+        if missing or self.failures:
+            raise DayError("; ".join(self.failures) or f"troubles that never began: {sorted(missing)}")
+        self.record.flush()
+        rows = read_all(self.folder)
+        for row in self.troubles:
+            row["begun"], row["ended"] = ((row[key] - begun) / 1e6 for key in ("begun", "ended"))
+        return Outcome(check(rows, self.figures()), figures_of(rows, self.methods()), self.troubles)
+
+    def end(self) -> None:
+        for house in [*getattr(self, "proxy_houses", []), *getattr(self, "task_houses", [])]:
+            house.end()
+        if self.assigner is not None and self.assigner.poll() is None:
+            self.assigner.terminate()
+            try:
+                code = self.assigner.wait(timeout=5)
+                if code:
+                    self.failures.append(f"the assigner ended with {code}")
+            except subprocess.TimeoutExpired:
+                self.assigner.kill()
+                self.assigner.wait()
+                self.failures.append("the assigner did not end on SIGTERM")
+
+    def methods(self) -> list[dict]:
+        return [dict(name=name, criticality=m.criticality, soft_us=m.soft_deadline_ms * 1e3,
+                     deadline_us=m.deadline_ms * 1e3) for name, m in self.terms.methods.items()]
+
+    def figures(self) -> Figures:
+        promises, channel = self.terms.promises, self.terms.channel
+        return Figures(
+            bare=round(promises.bare_s * 1e6), grace=round(promises.drain_grace_s * 1e6),
+            warm_up=round(promises.warm_up_s * 1e6), fall=round(promises.fall_s * 1e6),
+            fall_multiple=promises.fall_multiple, most_waiting=channel.most_waiting,
+            messages_most=channel.messages_most, messages_over=round(channel.messages_over_s * 1e6),
+            lines_per_s=channel.lines_per_s, head=channel.head_lines,
+            repeats=tuple(m.repeats for m in self.terms.methods.values()))
--- /dev/null
+++ b/hollyridge/lab/policies.py
@@ -0,0 +1,87 @@
+"""Other decision modules for the laboratory: baselines to compare with, and saboteurs that the checker must catch.
+Each breaks one rule. They stand in for the module; the program around them is the real one."""
+
+from __future__ import annotations
+
+from hollyridge import interface as api
+from hollyridge.rules import Assigner
+
+
+class Even:
+    """Every open task in every table with the same weight; changes only with the list."""
+
+    def __init__(self, boot: api.Bootstrap, seed: int) -> None:
+        self.open: dict[int, int] = {}
+        self.zones = boot.zones
+
+    def decide(self, now: int, events: list) -> list:
+        orders: list = []
+        joined = []
+        for event in events:
+            if isinstance(event, api.RosterChange):
+                for entry in event.entries:
+                    ready = entry.state == api.TaskState.READY
+                    if ready != (entry.task in self.open):
+                        orders += [api.PutLine(float(ready), entry.task, table) for table in range(self.zones)]
+                    if ready:
+                        self.open[entry.task] = 1
+                    else:
+                        self.open.pop(entry.task, None)
+            elif isinstance(event, api.Joined):
+                joined.append(api.Attach(event.proxy, event.zone, 0))
+        return orders + joined
+
+
+class Always(Assigner):
+    """The module without the gate: every change that is worth a line is pushed each period."""
+
+    def __init__(self, boot: api.Bootstrap, seed: int) -> None:
+        super().__init__(boot, seed)
+        self.gate.decide = lambda published, current, held: not held
+
+
+class Bare(Assigner):
+    """Rule 1: after a while it takes every line out of a table and puts none back."""
+
+    begun = 0
+
+    def decide(self, now: int, events: list) -> list:
+        orders = super().decide(now, events)
+        self.begun = self.begun or now
+        if now - self.begun < 4_000_000:
+            return orders
+        lines = self.tables.lines[0]
+        orders = [o for o in orders if not (isinstance(o, api.PutLine) and o.table == 0)]
+        orders += [api.PutLine(0.0, task, 0) for task in lines]
+        lines.clear()
+        return orders
+
+
+class Deaf(Assigner):
+    """Rule 3: it never takes a line out."""
+
+    def decide(self, now: int, events: list) -> list:
+        return [o for o in super().decide(now, events) if not (isinstance(o, api.PutLine) and o.weight == 0)]
+
+
+class Bold(Assigner):
+    """Rule 4: the first of those that have just started gets nearly all."""
+
+    def decide(self, now: int, events: list) -> list:
+        orders = super().decide(now, events)
+        cold = [i for i, part in self.parts(now).items() if part < 1]
+        return [o._replace(weight=o.weight * 1000) if isinstance(o, api.PutLine) and o.task == min(cold, default=-1)
+                else o for o in orders]
+
+
+class Chatty(Assigner):
+    """Rule 5: it says a line again ten times a second."""
+
+    def decide(self, now: int, events: list) -> list:
+        orders = super().decide(now, events)
+        for table, lines in enumerate(self.tables.lines):
+            orders += [api.PutLine(w * (1 + now // 1000 % 7 / 10), i, table) for i, w in list(lines.items())[:1]]
+        return [*orders, api.WakeAt(9, 100_000)] if any(isinstance(e, api.Woke) for e in events) else orders
+
+
+POLICIES = {"even": Even, "always": Always, "bare": Bare, "deaf": Deaf, "bold": Bold, "chatty": Chatty}
--- /dev/null
+++ b/hollyridge/lab/record.py
@@ -0,0 +1,53 @@
+"""Recordings: one JSON line for each thing that passed, with the monotonic time (us) that all processes share."""
+
+from __future__ import annotations
+
+import base64
+import time
+from pathlib import Path
+
+import msgspec
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Recorder:
+    """Appends to a file of its own; a process that is killed loses at most the last second."""
+
+    def __init__(self, path: Path | str) -> None:
+        self.file = open(path, "ab", buffering=1 << 16)
+        self.encoder = msgspec.json.Encoder()
+        self.flushed = now_us()
+
+    def __call__(self, kind: str, **facts) -> None:
+        now = now_us()
+        self.file.write(self.encoder.encode({"k": kind, "t": now, **facts}) + b"\n")
+        if now - self.flushed > 500_000:
+            self.flush()
+
+    def frame(self, kind: str, who: str, stream: int, raw: bytes) -> None:
+        self(kind, who=who, stream=stream, frame=base64.b64encode(raw).decode())
+
+    def flush(self) -> None:
+        self.file.flush()
+        self.flushed = now_us()
+
+
+def read_all(folder: Path | str) -> list[dict]:
+    """All records below a folder, by time; equal times keep the order of files and lines. A line cut off by a
+    kill is passed over."""
+    rows = []
+    for path in sorted(Path(folder).glob("*.jsonl")):
+        for line in path.read_bytes().splitlines():
+            try:
+                rows.append(msgspec.json.decode(line))
+            except msgspec.DecodeError:
+                continue
+    rows.sort(key=lambda row: row["t"])
+    return rows
+
+
+def frame_of(row: dict) -> bytes:
+    return base64.b64decode(row["frame"])
--- /dev/null
+++ b/hollyridge/lab/script.py
@@ -0,0 +1,111 @@
+"""Scripts of days (`hollyridge day`): an INI file with the fleet, the load and the troubles."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, PositiveFloat, PositiveInt, ValidationInfo, field_validator
+
+from hollyridge.settings import assigner
+from hollyridge.settings.ini import FaultsError, Section, check, read_file
+
+KINDS = ("release", "zone_lost", "zone_cut", "hang", "errors", "pauses", "streams_broken", "late_sums", "surge",
+         "assigner_killed", "proxies_killed", "unread", "restart_in_place")
+Part = Annotated[float, Field(gt=0, le=1)]
+
+
+class DaySection(Section):
+    """`settings` is the assigner's file, relative to the script."""
+
+    settings: str
+    length_s: Annotated[float, Field(gt=2, le=3600)]
+    seed: int = 1
+    notice_ms: Annotated[list[float], Field(min_length=2, max_length=2)] = [300, 1500]
+
+    @field_validator("notice_ms", mode="before")
+    @classmethod
+    def two(cls, value: object, _info: ValidationInfo) -> object:
+        return value.replace(",", " ").split() if isinstance(value, str) else value
+
+
+class FleetSection(Section):
+    tasks: PositiveInt = 12
+    proxies: PositiveInt = 9
+    cores: PositiveInt = 2
+    slots: PositiveInt = 6
+    queue: PositiveInt = 20
+    speed_spread: Annotated[float, Field(ge=0, lt=1)] = 0.2
+    cold_from: Part = 0.25
+    cold_s: PositiveFloat = 10
+    handshake_ms: Annotated[float, Field(ge=0)] = 5
+    connections: PositiveInt = 200
+
+
+class LoadSection(Section):
+    """`work_ms` and `shares` in the order of the methods in the settings."""
+
+    rpcs_per_s: PositiveFloat = 90
+    work_ms: list[PositiveFloat] = [100]
+    shares: list[PositiveFloat] = [1]
+    client_retries: Annotated[int, Field(ge=0, le=10)] = 2
+    reckless: bool = False
+    try_share: Part = 0.7
+
+    @field_validator("work_ms", "shares", mode="before")
+    @classmethod
+    def several(cls, value: object) -> object:
+        return value.replace(",", " ").split() if isinstance(value, str) else value
+
+
+class TroubleSection(Section):
+    kind: Literal[KINDS]
+    at_s: Annotated[float, Field(ge=0)]
+    for_s: Annotated[float, Field(ge=0)] = 0
+    part: Part = 1.0
+    size: PositiveFloat = 1.0
+    zone: str = ""
+
+
+class Script:
+    def __init__(self, path: Path, day: DaySection, fleet: FleetSection, load: LoadSection,
+                 troubles: dict[str, TroubleSection], terms: assigner.AssignerTerms) -> None:
+        self.path, self.day, self.fleet, self.load = path, day, fleet, load
+        self.troubles, self.terms = troubles, terms
+
+
+def load(path: Path | str) -> Script:
+    """Read and check a script and the settings it names. Raises FaultsError with all that is wrong."""
+    path = Path(path)
+    parser, faults = read_file(path), []
+    found, troubles = {}, {}
+    models = {"day": DaySection, "fleet": FleetSection, "load": LoadSection}
+    for name in parser.sections():
+        first, _, rest = name.partition(" ")
+        if first == "trouble" and rest:
+            trouble = check(name, TroubleSection, dict(parser[name]), faults)
+            if trouble is not None:
+                troubles[rest.strip()] = trouble
+        elif name not in models:
+            faults.append(f"[{name}]: no such section")
+    for name, model in models.items():
+        values = dict(parser[name]) if parser.has_section(name) else {}
+        found[name] = check(name, model, values, faults)
+    terms = None
+    if found["day"] is not None:
+        try:
+            terms = assigner.load(path.parent / found["day"].settings)
+        except FaultsError as trouble:
+            faults += [f"{found['day'].settings}: {fault}" for fault in trouble.faults]
+    if terms is not None and found["load"] is not None:
+        for key in ("work_ms", "shares"):
+            if len(getattr(found["load"], key)) != len(terms.methods):
+                faults.append(f"[load] {key}: {len(terms.methods)} figures wanted, one a method")
+        for name, trouble in troubles.items():
+            if trouble.zone and trouble.zone not in terms.zones:
+                faults.append(f"[trouble {name}] zone: no such zone in the settings")
+            if trouble.at_s >= found["day"].length_s:
+                faults.append(f"[trouble {name}] at_s: after the day's end")
+    if faults:
+        raise FaultsError(faults)
+    return Script(path, found["day"], found["fleet"], found["load"], troubles, terms)
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -22,7 +22,8 @@
     """`make` builds the decision module. `start` listens (OSError if an address is taken), `run` blocks until
     `stop` and raises what the machine raises when it gives up."""
 
-    def __init__(self, terms: AssignerTerms, log, make: Callable = Assigner, clock: Callable = monotonic_us) -> None:
+    def __init__(self, terms: AssignerTerms, log, make: Callable = Assigner,
+                 clock: Callable = monotonic_us) -> None:
         self.terms, self.log = terms, log
         boot = terms.bootstrap()
         self.machine = Machine(boot, terms.assigner.seed, terms.limits(), clock(), log, make)
