--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -115,7 +115,8 @@
     def settings_file(self) -> Path:
         parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
         parser.read(self.script.path.parent / self.script.day.settings)
-        for section, key, value in (("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
+        changes = [(*place, value) for place, value in self.script.overrides.items()]
+        for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
                                     ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
                                     ("log", "format", "json"), ("log", "status_every_s", "5")):
             if not parser.has_section(section):
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -144,7 +144,7 @@
         self.sums: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
         self.rpcs: dict[int, list[int]] = defaultdict(lambda: [0, 0])
         self.loads: dict[str, tuple[float, int]] = {}
-        self.token = 0
+        self.token, self.life = 0, seed
         self.down = False
         self.late = 0.0
         self.cut: set[str] = set()
@@ -223,7 +223,7 @@
         """A client's RPC with its own retries: after any failure where that is safe, else only after proof."""
         terms, begun = self.methods[method], time.monotonic()
         self.token += 1
-        token = f"{self.uid}.{self.token}"
+        token = f"{self.uid}.{self.life}.{self.token}"
         deadline = begun + terms["deadline_us"] / 1e6
         outcome, tries = rpc.NOT_SENT, 0
         while True:
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -69,16 +69,17 @@
 
 class Script:
     def __init__(self, path: Path, day: DaySection, fleet: FleetSection, load: LoadSection,
-                 troubles: dict[str, TroubleSection], terms: assigner.AssignerTerms) -> None:
+                 troubles: dict[str, TroubleSection], overrides: dict[tuple[str, str], str],
+                 terms: assigner.AssignerTerms) -> None:
         self.path, self.day, self.fleet, self.load = path, day, fleet, load
-        self.troubles, self.terms = troubles, terms
+        self.troubles, self.overrides, self.terms = troubles, overrides, terms
 
 
 def load(path: Path | str) -> Script:
     """Read and check a script and the settings it names. Raises FaultsError with all that is wrong."""
     path = Path(path)
     parser, faults = read_file(path), []
-    found, troubles = {}, {}
+    found, troubles, overrides = {}, {}, {}
     models = {"day": DaySection, "fleet": FleetSection, "load": LoadSection}
     for name in parser.sections():
         first, _, rest = name.partition(" ")
@@ -86,6 +87,8 @@
             trouble = check(name, TroubleSection, dict(parser[name]), faults)
             if trouble is not None:
                 troubles[rest.strip()] = trouble
+        elif first == "set" and rest:  # [set SECTION]: other figures than the settings have, for this day
+            overrides.update(((rest.strip(), key), value) for key, value in parser[name].items())
         elif name not in models:
             faults.append(f"[{name}]: no such section")
     for name, model in models.items():
@@ -94,7 +97,7 @@
     terms = None
     if found["day"] is not None:
         try:
-            terms = assigner.load(path.parent / found["day"].settings)
+            terms = assigner.load(path.parent / found["day"].settings, overrides)
         except FaultsError as trouble:
             faults += [f"{found['day'].settings}: {fault}" for fault in trouble.faults]
     if terms is not None and found["load"] is not None:
@@ -108,4 +111,4 @@
                 faults.append(f"[trouble {name}] at_s: after the day's end")
     if faults:
         raise FaultsError(faults)
-    return Script(path, found["day"], found["fleet"], found["load"], troubles, terms)
+    return Script(path, found["day"], found["fleet"], found["load"], troubles, overrides, terms)
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,382 @@
+"""The decisions around the module: channel, advice, desk, door, members, presence, news, doorkeeper."""
+
+from random import Random
+
+import pytest
+
+from hollyridge import interface as api
+from hollyridge.interface import AskReceipt, Attach, PutLine, TaskState
+from hollyridge.steering import members
+from hollyridge.steering.advice import LEAST, MOST, GroupAdvice
+from hollyridge.steering.channel import Channel
+from hollyridge.steering.desk import Abilities, Desk, Parcel, Whole
+from hollyridge.steering.door import Door
+from hollyridge.steering.doorkeeper import Doorkeeper
+from hollyridge.steering.members import (
+    AskedAgain, Deregistered, Members, Quiesced, Refusal, Registered, StreamLost, Tick,
+)
+from hollyridge.steering.news import SECOND as NS
+from hollyridge.steering.news import Kind, News, Point
+from hollyridge.steering.presence import TAKEOVERS, Presence
+
+SECOND = 1_000_000
+PLAIN = Abilities(False, False, False, True, 1)
+
+
+# Weights as 16-bit numbers.
+
+@pytest.mark.parametrize("seed", range(20))
+def test_shares_survive_rounding(seed):
+    rng, group = Random(seed), GroupAdvice()
+    lines = {i: rng.lognormvariate(0, 1.5) * rng.choice([1, 1000]) for i in range(rng.randrange(1, 200))}
+    cold = {i for i in lines if rng.random() < 0.3}
+    for _ in range(50):
+        changed = rng.sample(sorted(lines), rng.randrange(1, len(lines) + 1))
+        lines.update((i, lines[i] * rng.uniform(0.5, 2)) for i in changed)
+        group.advise(lines, changed, False, cold.__contains__, lambda i: False)
+        largest, whole, said = max(lines.values()), sum(lines.values()), sum(group.said.values())
+        assert LEAST // 2 <= max(group.said.values()) <= MOST
+        for i, weight in lines.items():
+            figure, unit = group.said.get(i, 0), largest / LEAST
+            assert abs(figure / group.scale - weight) <= unit  # no line drifts, so no sum does
+            if i in cold and len(lines) > 1:
+                assert figure / group.scale <= weight  # never above its part
+            elif weight > 0:
+                assert figure >= 1
+        assert abs(said / group.scale - whole) <= len(lines) * largest / LEAST
+
+
+def test_the_whole_group_is_said_again_only_when_its_scale_must_move():
+    group = GroupAdvice()
+    assert group.advise({1: 1.0, 2: 1.0}, [1, 2], False, bool, lambda i: False).whole
+    moves = [group.advise({1: 1.0, 2: w}, [2], False, bool, lambda i: False).whole
+             for w in (1.5, 3.9, 4.1, 2.0, 1.0, 0.5)]
+    assert moves == [False, False, True, False, True, False]
+
+
+def test_a_closed_task_stays_closed_whatever_an_older_order_says():
+    group = GroupAdvice()
+    assert group.advise({1: 1.0, 2: 1.0}, [], True, lambda i: False, {2}.__contains__).figures == {1: 16384, 2: 0}
+
+
+# The channel.
+
+def parcel(proxy, lines=1, mark=-1, number=1, table=0):
+    return Parcel(proxy, number, 0, tuple(PutLine(1.0, i, table) for i in range(lines)), mark)
+
+
+def test_messages_leave_in_order_at_the_stated_pace():
+    channel, left = Channel(lines_per_s=1000, head=3, most=10_000), []
+    for k in range(50):
+        channel.put(0, parcel(k, 7), 7)
+    for now in range(0, SECOND, 1000):
+        while (sent := channel.take(now)) is not None:
+            left.append((now, sent.proxy))
+    assert [p for _, p in left] == list(range(50))
+    assert left[0][0] == 10_000 and left[-1][0] == 500_000 and channel.waiting == 0
+
+
+def test_at_the_limit_messages_merge_and_none_is_lost():
+    channel, rng, wanted = Channel(1000, 3, most=200), Random(5), {}
+    highest = 0
+    for number in range(400):
+        proxy = number % 10
+        steps = tuple(PutLine(rng.random(), task, 0) for task in rng.sample(range(12), 4))
+        wanted.setdefault(proxy, {}).update((s.task, s.weight) for s in steps)
+        channel.put(0, Parcel(proxy, number, 0, steps, -1), len(steps))
+        highest = max(highest, channel.waiting)
+    assert highest <= 10 * (12 + 3) + 200 and channel.merged > 300
+    got, now = {}, 0
+    while channel.due is not None:
+        now = channel.due
+        sent = channel.take(now)
+        got.setdefault(sent.proxy, {}).update((s.task, s.weight) for s in sent.steps)
+    assert got == wanted
+
+
+def test_what_waits_for_a_broken_stream_is_lost_and_counted():
+    channel = Channel(1000, 3, 1000)
+    for proxy in (1, 2, 1):
+        channel.put(0, parcel(proxy, 5), 5)
+    assert channel.lose(1) == 2 and channel.waiting == 8 and channel.lost_lines == 16
+    assert channel.take(SECOND).proxy == 2
+
+
+def test_a_sender_that_stood_still_does_not_burst():
+    channel = Channel(100, 0, 10_000)
+    for k in range(100):
+        channel.put(0, parcel(k, 10), 10)
+    sent = 0
+    while channel.take(5 * SECOND) is not None:
+        sent += 1
+    assert sent <= 2
+
+
+# The desk.
+
+def test_one_message_a_proxy_with_steps_in_order():
+    desk = Desk(2)
+    fronts = {1: PLAIN, 2: PLAIN}
+    desk.carry(0, 1, [PutLine(1.0, 5, 0), Attach(1, 0, 0), Attach(2, 0, 0)], fronts)
+    orders = [PutLine(2.0, 6, 0), Attach(2, 1, 2), PutLine(0.0, 5, 0), AskReceipt(4, False)]
+    carried = desk.carry(1, 2, orders, fronts)
+    steps = {p.proxy: p.steps for p in carried.parcels}
+    assert steps[1] == (PutLine(2.0, 6, 0), PutLine(0.0, 5, 0))
+    assert steps[2] == (PutLine(2.0, 6, 0), Whole(1, 2, {}), PutLine(0.0, 5, 0))
+    assert all(p.mark == 4 for p in carried.parcels)
+
+
+@pytest.mark.parametrize("order, why", [
+    (api.SetLevel(0, 1, 0.5, 0), "front has no levels"),
+    (api.Withdraw(3, True), "front has no withdrawals"),
+    (Attach(9, 0, 0), "proxy has left"),
+    (api.Probe(1), "no Probe here"),
+    (api.TellPeer(1, b""), "no TellPeer here"),
+])
+def test_what_cannot_be_carried_is_refused_and_counted(order, why):
+    desk = Desk(1)
+    desk.carry(0, 1, [PutLine(1.0, 5, 0), Attach(1, 0, 0)], {1: PLAIN})
+    assert desk.carry(0, 2, [order], {1: PLAIN}).refused == {why: 1}
+
+
+# Indices.
+
+def test_weeks_of_tasks_do_not_grow_the_arrays():
+    used = set()
+    door, now = Door(rest=100, most=200, still_used=used.__contains__), 0
+    for week in range(2000):
+        at = door.enter(now, f"task-{week}")
+        assert at is not None and door.names[at] == f"task-{week}"
+        used = {at}
+        now += 10
+        door.leave(now, f"task-{week}")
+    assert len(door.names) <= 13
+
+
+def test_an_index_rests_while_an_order_may_name_it():
+    used = {0}
+    door = Door(rest=10, most=5, still_used=lambda i: i in used)
+    door.enter(0, "a")
+    door.leave(0, "a")
+    assert door.enter(1000, "b") == 1
+    used.clear()
+    assert door.enter(1000, "c") == 0
+
+
+# Members.
+
+TERMS = members.Terms(warm_up=16 * SECOND, hold_own=SECOND, hold_agent=30 * SECOND, settle=SECOND // 2,
+                      settle_most=3 * SECOND, most=100)
+
+
+class Fleet:
+    """Members with a clock; `states` is what the module has been told."""
+
+    def __init__(self):
+        self.book, self.now, self.states, self.started = Members(TERMS, 0), 0, {}, {}
+
+    def take(self, what, after=0.0):
+        self.now += round(after * SECOND)
+        outcome = self.book.take(self.now, what)
+        for entry in outcome.change.entries if outcome.change else ():
+            self.states[entry.task], self.started[entry.task] = TaskState(entry.state), entry.started_at
+        return outcome.refusal
+
+    def register(self, task, stream=1, label="run=a up=100", own=False, after=0.0):
+        return self.take(Registered(stream, (members.Applicant((task,), task, 0, label, own),)), after)
+
+    def settled(self):
+        self.register(99, stream=50)
+        self.take(Tick(), after=4)
+        return self
+
+
+def test_the_first_list_waits_till_registrations_pause():
+    fleet = Fleet()
+    for task in range(5):
+        fleet.register(task, after=0.3)
+        assert not fleet.states
+    fleet.take(Tick(), after=0.6)
+    assert len(fleet.states) == 5
+
+
+def test_an_empty_fleet_settles_in_the_end():
+    fleet = Fleet()
+    assert fleet.book.take(2 * SECOND, Tick()).change is None
+    assert fleet.book.take(3 * SECOND, Tick()).change.entries == ()
+
+
+RUNS = [
+    # first label, seconds later on a new stream the second, whether it counts as a start
+    ("run=a up=100", "run=a up=105", False),
+    ("run=a up=100", "run=b up=0.5", True),
+    ("", "", True),
+    ("run=a up=100", "", True),
+]
+
+
+@pytest.mark.parametrize("first, second, starts", RUNS)
+def test_restart_or_reconnection(first, second, starts):
+    fleet = Fleet().settled()
+    fleet.register(1, stream=1, label=first)
+    before = fleet.started[1]
+    fleet.take(StreamLost(1))
+    fleet.register(1, stream=2, label=second, after=5)
+    assert (fleet.started[1] > before) == starts
+    assert fleet.states[1] == TaskState.READY
+
+
+def test_ages():
+    fleet = Fleet().settled()
+    fleet.register(1, label="run=a up=100")
+    fleet.register(2, label="run=b up=1.5")
+    fleet.register(3, label="run=c")
+    fleet.register(4, label="run=d up=-5e400")
+    assert fleet.started[1] == 0 and fleet.started[2] == fleet.now - 1_500_000
+    assert fleet.started[3] == fleet.started[4] == fleet.now
+
+
+def test_a_deregistration_overtaken_by_a_registration_ends_nothing():
+    fleet = Fleet().settled()
+    fleet.register(1, stream=1, label="run=a up=100")
+    fleet.register(1, stream=2, label="run=b up=0")
+    assert fleet.take(Deregistered(1, ((1,),))) == Refusal.NOT_REGISTERED
+    assert fleet.states[1] == TaskState.READY
+    assert fleet.take(Quiesced(1, (1,), True)) == Refusal.NOT_REGISTERED
+    assert fleet.take(Deregistered(2, ((1,),))) is None and fleet.states[1] == TaskState.GONE
+
+
+def test_streams_that_break():
+    fleet = Fleet().settled()
+    fleet.register(1, stream=1, own=True)
+    fleet.register(2, stream=2, own=False)
+    fleet.take(StreamLost(1))
+    fleet.take(StreamLost(2))
+    fleet.take(Tick(), after=2)
+    assert fleet.states[1] == TaskState.GONE and fleet.states[2] == TaskState.READY
+    fleet.register(2, stream=3, label="run=a up=105", after=20)
+    fleet.take(Tick(), after=60)
+    assert fleet.states[2] == TaskState.READY  # its list's bearer came back and said it again
+
+
+def test_refusals_leave_everything_as_it_was():
+    fleet = Fleet().settled()
+    row = members.Applicant((1,), 1, 0, "", False)
+    cases = [(Registered(1, (row, row)), Refusal.TWICE), (Registered(1, (row._replace(zone=-1),)), Refusal.NO_ZONE),
+             (Registered(1, (row._replace(task=-1),)), Refusal.FULL),
+             (Deregistered(1, ((7,),)), Refusal.NOT_REGISTERED),
+             (Registered(1, tuple(row._replace(key=(k,), task=k) for k in range(200))), Refusal.FULL)]
+    for what, why in cases:
+        assert fleet.take(what) == why and set(fleet.states) == {99}
+    assert fleet.register(1) is None and fleet.register(1) == Refusal.ALREADY_REGISTERED
+
+
+def test_drains_end_by_word_or_by_a_new_registration():
+    fleet = Fleet().settled()
+    fleet.register(1)
+    fleet.take(Quiesced(1, (1,), True))
+    assert fleet.states[1] == TaskState.DRAINING
+    fleet.take(Quiesced(1, (1,), False))
+    assert fleet.states[1] == TaskState.READY
+    fleet.take(Quiesced(1, (1,), True))
+    fleet.register(1, stream=2)
+    assert fleet.states[1] == TaskState.READY
+    full = fleet.book.take(fleet.now, AskedAgain()).change
+    assert full.kind == api.ListKind.FULL and len(full.entries) == 2
+
+
+# Presence.
+
+def test_a_poller_is_told_an_interval_that_keeps_drains_in_time():
+    for grace, bare in ((1, 5), (3, 5), (10, 30), (60, 20)):
+        seen = Presence(grace * SECOND, bare * SECOND)
+        assert 1 <= seen.interval and (seen.interval * SECOND < seen.patience or grace == 1)
+        seen.came(0, 1, "gw", push=False)
+        asked = 0
+        while asked < 20 * SECOND and seen.interval * SECOND < seen.patience:
+            asked += seen.interval * SECOND
+            assert not seen.overdue(asked)
+            seen.asked(asked, 1)
+        assert seen.overdue(asked + grace * SECOND)
+
+
+def test_unread_orders_end_a_stream_within_the_grace():
+    seen = Presence(3 * SECOND, 5 * SECOND)
+    seen.came(0, 1, "gw", push=True)
+    for now in range(0, 20 * SECOND, SECOND // 10):  # a slow reader goes on reading
+        seen.unread(now, 1, taken=now // 1000, waits=True)
+        assert not seen.overdue(now)
+    seen.unread(21 * SECOND, 1, taken=20_000, waits=True)
+    seen.unread(22 * SECOND, 1, taken=20_000, waits=True)
+    assert seen.overdue(24 * SECOND) == [(1, "leaves orders unread")]
+    seen.unread(24 * SECOND, 1, taken=20_001, waits=False)
+    assert not seen.overdue(60 * SECOND)
+
+
+def test_two_of_one_name():
+    seen = Presence(3 * SECOND, 5 * SECOND)
+    assert seen.came(0, 1, "gw", True).joined
+    for k in range(TAKEOVERS):
+        assert seen.came(k, k + 2, "gw", True) == (True, k + 1, False)
+    assert seen.came(5, 99, "gw", True).turned_away
+    assert seen.came(4 * SECOND, 100, "gw", True).joined
+
+
+# News.
+
+def point(value=10.0, start=0.0, end=1.0, kind=Kind.TRIES, source="gw-1", place=(0, 3), method=0):
+    return Point(source, kind, place, method, value, round(start * NS), round(end * NS))
+
+
+def news():
+    return News(most_series=50, most_each=20, per_s=1000, lines=5, forget=60 * SECOND)
+
+
+TAKEN = [
+    # points in the order they come, tries that count in all
+    ([point(), point()], 10),
+    ([point(), point(start=1, end=2), point(start=0, end=1)], 20),
+    ([point(start=5, end=6), point(start=2, end=3)], 20),  # out of order
+    ([point(), point(start=0.5, end=1.5)], 10),  # a period that overlaps
+    ([point(), point(source="gw-2"), point(method=1)], 30),
+    ([point(value=float("nan")), point(value=float("inf")), point(value=-1.0), point(value=1e9)], 0),
+    ([point(start=1, end=1), point(start=2, end=1), point(start=0, end=1e5)], 0),
+]
+
+
+@pytest.mark.parametrize("points, counted", TAKEN)
+def test_each_period_counts_once(points, counted):
+    book = news()
+    for row in points:
+        book.take(0, row)
+    assert sum(event.tries for event in book.gather(1)) == counted
+    assert book.gather(2) == []
+
+
+def test_rates_add_up_however_unequal_the_periods():
+    book = news()
+    book.take(0, point(20, 0, 2, source="a"))
+    book.take(0, point(30, 0, 1, source="b"))
+    book.take(0, point(30, 1, 2, source="b"))
+    book.take(0, point(7, 0, 1, kind=Kind.FAILED, source="b"))
+    book.take(0, point(14.6, 0, 1, kind=Kind.TIME, source="b"))
+    (event,) = book.gather(1)
+    assert event.tries == 80 and event.tries / event.over * SECOND == pytest.approx(40)
+    assert event.bad == 7 and event.latency == 200_000
+
+
+def test_floods_of_names_stay_bounded():
+    book = news()
+    for k in range(1000):
+        book.take(k, point(place=(0, k), source=f"s{k % 4}"))
+    assert len(book.spans) <= 50 and book.turned_down["too many series"] >= 950
+    assert len(book.gather(2000)) == 5  # the rest waits
+    late = 10**9
+    book.gather(late)
+    assert book.take(late + 1, point(place=(1, 1), source="new")) == ""
+
+
+def test_doors_stay_open_for_others():
+    keeper = Doorkeeper(most=100, most_each=10, per_s=80, requests_per_s=10)
+    taken = sum(not keeper.knock(at, "storm") for at in range(0, SECOND, 1000))
+    assert taken == 10 and not keeper.knock(SECOND, "quiet")
