--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,195 @@
+"""The loop around the module, with a clock and a front of the test's own."""
+
+import pytest
+import structlog
+from helpers import SECOND, bootstrap
+
+from hollyridge import interface as api
+from hollyridge.core.machine import Limits, Machine, ModuleError
+from hollyridge.lab.policies import Even
+from hollyridge.rules import Assigner
+from hollyridge.steering import members
+from hollyridge.steering.desk import Abilities, Whole
+from hollyridge.steering.members import Applicant, Deregistered, Quiesced, Registered, StreamLost
+from hollyridge.steering.news import Kind, Point
+
+START = 1_000 * SECOND
+TERMS = members.Terms(16 * SECOND, SECOND, 30 * SECOND, SECOND // 2, 3 * SECOND, 1000)
+
+
+class Front:
+    """Keeps the tables that proxies would hold."""
+
+    abilities = Abilities(False, False, False, True, 1)
+
+    def __init__(self):
+        self.tables, self.bound, self.log = {}, {}, []
+
+    def lines(self, proxy, parcel):
+        return sum(len(s.lines) if type(s) is Whole else 1 for s in parcel.steps)
+
+    def write(self, proxy, parcel):
+        self.log.append(parcel)
+        held = self.tables.setdefault(proxy, {})
+        for step in parcel.steps:
+            if type(step) is Whole:
+                held.clear()
+                held.update(step.lines)
+                self.bound[proxy] = step.table
+            elif type(step) is api.PutLine and step.table == self.bound.get(proxy):
+                held[step.task] = step.weight
+                if not step.weight:
+                    del held[step.task]
+
+
+class House:
+    def __init__(self, make=Assigner, tasks=6, proxies=4, seed=7, **terms):
+        boot = bootstrap(admission=api.Admission.SILENT, **terms)
+        limits = Limits(2000.0, 3.0, 4000.0, 1000, 100, 1000, 500, 1e6, 500, 4000, TERMS)
+        self.now, self.front = START, Front()
+        self.machine = Machine(boot, seed, limits, START, structlog.get_logger(), make)
+        self.register({f"t{k}": ("run=a up=100", k % 2) for k in range(tasks)})
+        self.proxies = [self.machine.join(self.now, self.front, f"gw-{k}", k % 2, 5.0) for k in range(proxies)]
+        self.run(5)
+
+    def register(self, rows, stream=1):
+        found = tuple(Applicant((name,), self.machine.tasks.enter(self.now, (name,)), zone, label, False)
+                      for name, (label, zone) in rows.items())
+        return self.machine.happened(self.now, Registered(stream, found))
+
+    def task(self, name):
+        return self.machine.tasks.index[(name,)]
+
+    def run(self, seconds, receipts=True):
+        """Let time pass, with receipts 50 ms after each message."""
+        until = self.now + round(seconds * SECOND)
+        told = len(self.front.log)
+        while self.now < until:
+            due = self.machine.run(self.now)
+            for parcel in self.front.log[told:] if receipts else ():
+                if parcel.mark >= 0:
+                    self.machine.receipt(self.now, parcel.proxy, parcel.mark, 50_000)
+            told = len(self.front.log)
+            self.now = max(self.now + 1000, min(due, until, self.now + 50_000))
+
+    def met(self, task, tries=20, bad=0, zone=0, span=1.0):
+        end = self.now * 1000
+        rows = ((Kind.TRIES, tries), (Kind.FAILED, bad), (Kind.TIME, (tries - bad) * 0.1))
+        for kind, value in rows:
+            self.machine.report(self.now, Point("gw", kind, (zone, task), 0, value, end - round(span * 1e9), end))
+
+    def held(self):
+        return {proxy: set(table) for proxy, table in self.front.tables.items()}
+
+
+def test_all_proxies_hold_all_tasks_and_one_message_each():
+    house = House()
+    assert set(house.held()) == set(house.proxies) and all(held == set(range(6)) for held in house.held().values())
+    assert len(house.front.log) == 4
+
+
+@pytest.mark.parametrize("make", [Assigner, Even])
+def test_a_drain_is_everywhere_within_the_grace(make):
+    house = House(make)
+    for how in (Quiesced(1, ("t1",), True), Deregistered(1, (("t2",),))):
+        house.machine.happened(house.now, how)
+        house.run(0.5)
+    assert all(not held & {house.task("t1"), 2} for held in house.held().values())
+    late = house.machine.join(house.now, house.front, "late", 0, 5.0)
+    house.run(2)
+    assert house.held()[late] == {0, 3, 4, 5}
+
+
+def test_a_restart_under_the_same_address_rises_again():
+    house = House()
+    for _ in range(10):
+        for k in range(6):
+            house.met(k, zone=k % 2)
+        house.run(1)
+    warm = house.front.tables[0][0]
+    house.register({"t0": ("run=b up=0.1", 0)}, stream=2)
+    house.run(1.5)
+    assert house.front.tables[0].get(0, 0.0) < warm * 0.6
+    assert house.machine.members.restarts == 1
+
+
+def test_started_over_in_the_middle_of_a_release():
+    """The list and the streams are all it has: nothing empties, the cold get their part only."""
+    house = House(tasks=4)
+    fresh = {f"n{k}": (f"run=n up={k * 0.5}", k % 2) for k in range(3)}
+    house.register(fresh)
+    house.machine.happened(house.now, Quiesced(1, ("t0",), True))
+    house.run(3)
+    for proxy, table in house.front.tables.items():
+        assert {1, 2, 3} <= set(table) and 0 not in table
+        cold = [table[house.task(name)] for name in fresh if house.task(name) in table]
+        assert all(weight <= 0.6 * max(table.values()) for weight in cold), proxy
+
+
+class Flaky(Assigner):
+    """Fails whenever it is told of this many proxies that left at once."""
+
+    def decide(self, now, events):
+        if any(isinstance(e, api.Left) for e in events):
+            raise KeyError("a fault of the module")
+        return super().decide(now, events)
+
+
+def test_a_failure_of_the_module_is_told_and_outlived():
+    house = House(Flaky)
+    held = house.held()
+    with structlog.testing.capture_logs() as logs:
+        house.machine.log = structlog.get_logger()
+        house.machine.leave(house.now, house.proxies[0])
+        house.run(0.01)
+        assert house.held() == held  # they keep what they hold
+        house.run(3)
+    (entry,) = [row for row in logs if row["event"] == "module failed"]
+    assert "a fault of the module" in entry["error"] and any("Left" in row for row in entry["events"])
+    house.machine.happened(house.now, Quiesced(1, ("t3",), True))
+    house.run(1)
+    assert all(3 not in house.held()[p] for p in house.proxies[1:])
+
+
+def test_it_gives_up_when_the_module_fails_on_and_on():
+    house = House(Flaky)
+    with pytest.raises(ModuleError):
+        for proxy in house.proxies:
+            house.machine.leave(house.now, proxy)
+            house.run(0.2)
+
+
+def test_a_flood_of_reports_never_displaces_the_list():
+    house = House()
+    for _ in range(10_000):
+        house.machine.tell(house.now, api.TrafficReport(0, 1, 1, 0, 1000, SECOND, ()))
+    house.machine.happened(house.now, Quiesced(1, ("t1",), True))
+    assert house.machine.counts["events_dropped"] >= 6000
+    house.run(0.5)
+    assert all(1 not in held for held in house.held().values())
+
+
+def test_tasks_that_come_and_go_leave_no_trace():
+    house = House(tasks=3, proxies=2)
+    for week in range(300):
+        house.register({f"x{week}": (f"run=x{week} up=100", 0)}, stream=9)
+        house.run(0.3)
+        house.machine.happened(house.now, StreamLost(9))
+        house.machine.happened(house.now, Deregistered(9, ((f"x{week}",),)))
+        house.run(0.3)
+    assert len(house.machine.tasks.names) < 150
+    assert all(len(held) == 3 for held in house.held().values())
+
+
+def story(seed):
+    house = House(seed=seed)
+    for second in range(6):
+        for k in range(6):
+            house.met(k, bad=20 if k == 3 and second < 4 else 0, zone=k % 2)
+        house.run(1)
+    return [(p.proxy, p.number, p.at, p.steps) for p in house.front.log]
+
+
+def test_same_events_same_orders():
+    first = story(3)
+    assert first == story(3) and len(first) > 8
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,98 @@
+"""Faults in settings and scripts are named by section and key, all at once."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from hollyridge.cli.main import main
+from hollyridge.interface import Admission
+from hollyridge.lab import script
+from hollyridge.settings import assigner
+from hollyridge.settings.ini import FaultsError
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+LOOPBACK = (EXAMPLES / "loopback.ini").read_text()
+
+FAULTS = [
+    # what is changed in the example, the faults in order
+    (("seed = 7", "seed = seven"), ["[assigner] seed: Input should be a valid integer"]),
+    (("name = loopback", "nome = loopback"), ["[assigner] nome: no such key"]),
+    (("cold_from = 0.2", "cold_from = 2"), ["[promises] cold_from: Input should be less than or equal to 1"]),
+    (("pick = p2c", "pick = best"), ["[proxies] pick: Input should be 'p2c', 'rotate' or 'random'"]),
+    (("khalda = 127.2.0.0/16", "khalda = 127.2.0.1/16"), ["[zones] khalda: 127.2.0.1/16 has host bits set"]),
+    (("listen = 127.0.0.1:3860", "listen = nowhere"), ["[sasp] listen: Value error, address:port is wanted"]),
+    (("listen = 127.0.0.1:3860", "listen = 127.0.0.1:4318"), ["[otlp] listen: the same as [sasp] listen"]),
+    (("soft_deadline_ms = 800", "soft_deadline_ms = 8000"), ["[method unlock-chapter] soft_deadline_ms: above"]),
+    (("window_ms = 2000\n", ""), ["[method unlock-chapter] window_ms: tokened methods need"]),
+    (("deadline_ms = 2000", ""), ["[method unlock-chapter] deadline_ms: missing"]),
+    (("drain_grace_s = 3", "drain_grace_s = 1\n[chanel]\na = 1"), ["[chanel]: no such section"]),
+    (("most_waiting = 6000", "most_waiting = 6000\nworst_transit_s = 4"), ["[channel] worst_transit_s: not under"]),
+    (("[assigner]", "no section"), ["File contains no section headers"]),
+    (("seed = 7", "seed = x\nname = y"), ["option 'name' in section 'assigner' already exists"]),
+]
+
+
+@pytest.mark.parametrize("change, faults", FAULTS, ids=[row[1][0][:40] for row in FAULTS])
+def test_faults_are_named(tmp_path, change, faults):
+    assert change[0] in LOOPBACK
+    path = tmp_path / "a.ini"
+    path.write_text(LOOPBACK.replace(*change, 1))
+    with pytest.raises(FaultsError) as trouble:
+        assigner.load(path)
+    assert len(trouble.value.faults) == len(faults)
+    assert all(want in got for want, got in zip(faults, trouble.value.faults))
+    ran = CliRunner().invoke(main, ["check", str(path)])
+    assert ran.exit_code == 2 and faults[0] in ran.output
+
+
+def test_all_faults_at_once(tmp_path):
+    path = tmp_path / "a.ini"
+    path.write_text("[assigner]\nseed = x\n[log]\nlevel = loud\n[method m]\nsoft_deadline_ms = 1\n")
+    with pytest.raises(FaultsError) as trouble:
+        assigner.load(path)
+    keys = {fault.split(":")[0] for fault in trouble.value.faults}
+    assert keys == {"[assigner] seed", "[log] level", "[method m] deadline_ms", "[zones]"}
+
+
+@pytest.mark.parametrize("raw", [b"\xff\xfe[a]", b"[a]\n" + b"x" * (1 << 20), None])
+def test_files_that_are_none(tmp_path, raw):
+    path = tmp_path / "a.ini"
+    if raw is not None:
+        path.write_bytes(raw)
+    with pytest.raises(FaultsError):
+        assigner.load(path)
+
+
+def test_the_module_is_told_of_a_front_without_levels():
+    terms = assigner.load(EXAMPLES / "loopback.ini")
+    boot = terms.bootstrap()
+    assert boot.admission == Admission.SILENT and boot.zones == 3
+    assert boot.lines_per_s == 1000 and boot.most_waiting == 2000 and boot.overhead == 1
+    shared = assigner.load(EXAMPLES / "loopback.ini", {(f"method {m}", "group"): "all" for m in terms.methods})
+    assert shared.bootstrap().lines_per_s == 3000 and shared.groups() == {"all": 0}
+
+
+SCRIPTS = [
+    ("[day]\nsettings = loopback.ini\nlength_s = 10\n[load]\nwork_ms = 1\nshares = 1, 1, 1\n",
+     "[load] work_ms: 3 figures wanted"),
+    ("[day]\nsettings = loopback.ini\nlength_s = 10\n[load]\nwork_ms = 1, 1, 1\nshares = 1, 1, 1\n"
+     "[trouble a]\nkind = plague\nat_s = 1\n", "[trouble a] kind: Input should be"),
+    ("[day]\nsettings = loopback.ini\nlength_s = 10\n[load]\nwork_ms = 1, 1, 1\nshares = 1, 1, 1\n"
+     "[trouble a]\nkind = zone_lost\nat_s = 11\nzone = atlantis\n", "[trouble a] zone: no such zone"),
+    ("[day]\nsettings = gone.ini\nlength_s = 10\n", "gone.ini"),
+]
+
+
+@pytest.mark.parametrize("text, fault", SCRIPTS)
+def test_faulty_scripts(tmp_path, text, fault):
+    (tmp_path / "loopback.ini").write_text(LOOPBACK)
+    (tmp_path / "s.ini").write_text(text)
+    with pytest.raises(FaultsError) as trouble:
+        script.load(tmp_path / "s.ini")
+    assert fault in str(trouble.value)
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*-day.ini")))
+def test_examples_are_fine(path):
+    assert script.load(path).troubles
