--- a/hollyridge/steering/news.py
+++ b/hollyridge/steering/news.py
@@ -13,7 +13,7 @@
 
 from hollyridge.interface import Event, OfferedLoad, TrafficReport
 
-SPANS = 32  # periods remembered by series; one that ends before the oldest of them is too old to tell
+SPANS = 32  # separate stretches of time remembered by series; before the oldest is too old to tell
 LONGEST = 600_000_000_000  # ns
 SECOND = 1_000_000_000
 
@@ -116,13 +116,23 @@
                     return False
             spans = self.spans[key] = []
             self.sizes[point.source] = self.sizes.get(point.source, 0) + 1
-        if len(spans) >= SPANS and end <= spans[0][1]:
-            return False
-        if any(start < b and a < end for a, b in spans):
-            return False
-        spans.append((start, end))
-        spans.sort()
-        del spans[:-SPANS]
+        if point.kind in LOADS:  # only the newest counts
+            if spans and end <= spans[0][1]:
+                return False
+            spans[:] = [(start, end)]
+        else:
+            if len(spans) >= SPANS and end <= spans[0][0]:
+                return False
+            if any(start < b and a < end for a, b in spans):
+                return False
+            before = next((at for at, (_, b) in enumerate(spans) if b == start), -1)
+            after = next((at for at, (a, _) in enumerate(spans) if a == end), -1)
+            if before >= 0:  # periods that meet are remembered as one: a steady sender costs one span
+                start = spans[before][0]
+            if after >= 0:
+                end = spans[after][1]
+            spans[:] = sorted([span for at, span in enumerate(spans) if at not in (before, after)]
+                              + [(start, end)])[-SPANS:]
         self.used[key] = now
         return True
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -353,6 +353,18 @@
     assert book.gather(2) == []
 
 
+def test_a_steady_sender_costs_one_span_and_gaps_are_bounded():
+    book, steady, gappy = news(), point(), point(source="gw-2")
+    for k in range(500):
+        book.take(k, point(start=k, end=k + 1))
+        book.take(k, point(start=3 * k, end=3 * k + 1, source="gw-2"))
+        book.take(k, point(0.5, k, k, kind=Kind.UTIL, source="gw-3"))
+    sizes = {key[0]: len(spans) for key, spans in book.spans.items()}
+    assert sizes == {"gw-1": 1, "gw-2": 32, "gw-3": 1}
+    assert book.take(0, steady) and book.take(0, gappy)
+    assert book.take(0, point(0.9, 400, 400, kind=Kind.UTIL, source="gw-3"))  # an older gauge says nothing new
+
+
 def test_rates_add_up_however_unequal_the_periods():
     book = news()
     book.take(0, point(20, 0, 2, source="a"))
