--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -424,3 +424,12 @@
         assert box.sent - box.left <= 3000
         assert all(len(times) <= 30 for times in box.written.values())
     assert all(tables.lines[z] == {0: rig.tables[z][0]} for z in (0, 1))
+
+
+def test_a_front_without_levels_or_ways_to_try_again_is_ordered_none():
+    rig = Rig(admission=api.Admission.SILENT)
+    for second in range(12):
+        bad = 18 if second < 8 else 0
+        rig.period(*[rig.met(z, t, tries=20, bad=bad) for z in (0, 1) for t in range(8)])
+        assert not [o for o in rig.orders if isinstance(o, api.SetLevel)]
+    assert not rig.levels
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -123,6 +123,29 @@
     assert r.holds(other)[0] == {g: {3, 4} for g in GROUPS}
 
 
+def test_a_member_that_speaks_for_itself_and_vanishes(rig):
+    r = rig(roster__hold_own_s=0.3)
+    r.agent()
+    gw = r.balancer()
+    own = r.open(Registrar, "shelf", source="127.1.0.50")
+    own.register([Member.at("127.1.0.50", 7, "me run=1 up=100")])
+    held, book = r.holds(gw, seconds=0.6)
+    assert all(50 in some for some in held.values())
+    own.close()
+    assert r.holds(gw, book, 1.0)[0] == ALL
+
+
+def test_an_agent_that_comes_back_keeps_its_list(rig):
+    r = rig(roster__hold_agent_s=1)
+    agent, gw = r.agent(), r.balancer()
+    book = r.holds(gw, seconds=0.5)[1]
+    agent.close()
+    gevent.sleep(0.4)
+    r.agent()
+    held, _ = r.holds(gw, book, 1.2)
+    assert held == ALL and r.machine.members.returns == 4 and not r.machine.members.restarts
+
+
 def test_one_that_asks_once_gets_a_table_and_is_let_go(rig):
     r = rig()
     r.agent()
