--- a/benchmarks/seeds.py
+++ b/benchmarks/seeds.py
@@ -55,8 +55,8 @@
     for policy in names[1:]:
         gaps = [base[row["seed"]] - row["served"] for row in rows
                 if row["policy"] == policy and "failed" not in row and row["seed"] in base]
-        click.echo(f"{names[0] or 'module'} better than {policy} on {sum(g > 0 for g in gaps)} of {len(gaps)} seeds, "
-                   f"by {statistics.mean(gaps):.4f} on average")
+        click.echo(f"{names[0] or 'module'} better than {policy} on {sum(g > 0 for g in gaps)} of {len(gaps)} "
+                   f"seeds, by {statistics.mean(gaps):.4f} on average")
 
 
 if __name__ == "__main__":
