--- a/hollyridge/sasp/front.py
+++ b/hollyridge/sasp/front.py
@@ -325,7 +325,7 @@
             return codec.GetWeightsReply(code, self.presence.interval, ())
         if stream.proxy >= 0 and not stream.given.is_set():  # one that asks only once should not go without
             self.loop.nudge()
-            stream.given.wait(self.presence.patience / 4e6)
+            stream.given.wait(self.presence.first_answer / 1e6)
         rows = []
         for group in message.groups:
             entries = self.entries(stream, stream.sheets[group.name], whole=True)
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -14,6 +14,7 @@
 from hollyridge.otlp.intake import OtlpTerms
 from hollyridge.sasp.front import SaspTerms
 from hollyridge.settings.ini import FaultsError, Section, check, read_file
+from hollyridge.steering.advice import shown_methods
 from hollyridge.steering.members import Terms
 
 Part = Annotated[float, Field(gt=0, le=1)]
@@ -170,14 +171,8 @@
         self.method_names = list(methods)
 
     def groups(self) -> dict[str, int]:
-        """Group name to the method whose table it shows: of several, the one of most criticality."""
-        found: dict[str, int] = {}
-        for k, (name, method) in enumerate(self.methods.items()):
-            group = method.group or name
-            rival = found.get(group)
-            if rival is None or method.criticality > self.methods[self.method_names[rival]].criticality:
-                found[group] = k
-        return found
+        """Group name to the method whose table it shows."""
+        return shown_methods([(m.group or name, m.criticality) for name, m in self.methods.items()])
 
     def bootstrap(self) -> api.Bootstrap:
         """What the module reads. A line of a table goes to a proxy once a group, so the module is told of a
--- a/hollyridge/steering/advice.py
+++ b/hollyridge/steering/advice.py
@@ -15,6 +15,21 @@
 LEAST = (MOST + 1) // 16
 
 
+def shown_methods(methods: Iterable[tuple[str, float]]) -> dict[str, int]:
+    """Group name to the method whose table it shows, of (group, criticality) by method: where methods share a
+    group, the one of most criticality, since a table laid out for lesser ones may be narrow on purpose.
+
+    >>> shown_methods([("read", 1.0), ("write", 2.0), ("read", 3.0)])
+    {'read': 2, 'write': 1}
+    """
+    rows = list(methods)
+    found: dict[str, int] = {}
+    for k, (group, criticality) in enumerate(rows):
+        if group not in found or criticality > rows[found[group]][1]:
+            found[group] = k
+    return found
+
+
 class Advised(NamedTuple):
     """Figures to send by task; `whole` if they replace all that was said of the group before."""
 
--- a/hollyridge/steering/presence.py
+++ b/hollyridge/steering/presence.py
@@ -52,6 +52,7 @@
         self.patience = min(grace, bare) * 9 // 10
         self.grace = grace
         self.interval = max(1, min(grace, bare) // 3_000_000)  # whole seconds, as the protocol has it
+        self.first_answer = self.patience // 4  # how long a first question may wait for its table
         self.streams: dict[int, Stream] = {}
         self.by_uid: dict[str, int] = {}
         self.takeovers: dict[str, deque[int]] = {}
