Table versions as immutable values; parcels carry values, changes are computed

Change: store/versions.py (immutables); the desk writes versions, parcels name the value each proxy is owed, merging takes the newer; sheets say the difference between what was told and what is owed. A task closed for a moment comes back with its old weight.

--- a/hollyridge/core/front.py
+++ b/hollyridge/core/front.py
@@ -10,8 +10,9 @@
 class Front(Protocol):
     abilities: Abilities
 
-    def lines(self, proxy: int, parcel: Parcel) -> int:
-        """How many lines this message comes to at this proxy, its head left out."""
+    def lines(self, proxy: int, parcel: Parcel) -> tuple[int, int]:
+        """How many lines this message comes to at this proxy, its head left out; and how many with all its tables
+        in full."""
 
     def write(self, proxy: int, parcel: Parcel) -> None:
         """Send it; must not block. What a slow reader holds up is merged and bounded by the front."""
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -23,6 +23,7 @@
 from hollyridge.steering.desk import Desk
 from hollyridge.steering.door import Door
 from hollyridge.steering.news import News, Point
+from hollyridge.store.versions import Store
 
 
 class Limits(NamedTuple):
@@ -46,6 +47,7 @@
 
 
 WAKES = 4096
+HISTORY = 64  # versions of a table that late readers can be brought forward from
 FAILURES = 3  # of the module within a minute; one more and the assigner gives up
 TRAIL = 64  # events kept for the log of a failure
 
@@ -57,12 +59,13 @@
                  make: Callable = Assigner) -> None:
         self.boot, self.seed, self.limits, self.log, self.make = boot, seed, limits, log, make
         self.module = make(boot, seed)
-        self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks, self.named)
+        self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks,
+                          lambda task: self.desk.names(task))
         self.proxies = Door(boot.drain_grace * 2, min(limits.most_proxies, 65535))
         self.members = members.Members(limits.members, now)
         self.news = News(limits.most_series, limits.most_series_each, limits.most_rate, limits.news_lines,
                          60 * boot.period)
-        self.desk = Desk(len(boot.methods))
+        self.desk = Desk(len(boot.methods), Store(HISTORY))
         self.channel = Channel(limits.lines_per_s, limits.head, limits.most_waiting)
         self.fronts: dict[int, Front] = {}
         self.places: dict[int, tuple[Hashable, int, float]] = {}  # proxy: name, zone, usual rate
@@ -149,9 +152,6 @@
         """Whether its weight rests on news, not on its listed size."""
         return now - self.heard.get(task, -1 << 60) < 4 * self.boot.period and not self.cold(now, task)
 
-    def named(self, task: int) -> bool:
-        return any(task in lines for lines in self.desk.tables.values())
-
     # The loop.
 
     def run(self, now: int) -> int:
@@ -221,7 +221,7 @@
         for why, count in refused.items():
             self.refused[why] = self.refused.get(why, 0) + count
         for parcel in parcels:
-            self.channel.put(now, parcel, self.fronts[parcel.proxy].lines(parcel.proxy, parcel))
+            self.channel.put(now, parcel, *self.fronts[parcel.proxy].lines(parcel.proxy, parcel))
         self.say(now, tables, parcels, refused)
 
     def say(self, now: int, orders: list[api.Order], parcels: list, refused: dict[str, int]) -> None:
@@ -258,7 +258,7 @@
         if len(self.failures) > FAILURES:
             raise ModuleError(f"the module failed {len(self.failures)} times within a minute")
         self.module = self.make(self.boot, self.seed)
-        self.desk = Desk(len(self.boot.methods))
+        self.desk = Desk(len(self.boot.methods), Store(HISTORY))
         self.channel = Channel(self.limits.lines_per_s, self.limits.head, self.limits.most_waiting)
         self.wakes.clear()
         self.trail.clear()
--- a/hollyridge/sasp/front.py
+++ b/hollyridge/sasp/front.py
@@ -21,14 +21,14 @@
 from gevent.server import StreamServer
 
 from hollyridge.core.loop import Loop
-from hollyridge.interface import DropTable, PutLine
 from hollyridge.sasp import codec
 from hollyridge.sasp.codec import Code, Told, Wants
 from hollyridge.steering import members
 from hollyridge.steering.advice import GroupAdvice
-from hollyridge.steering.desk import Abilities, Parcel, Whole
+from hollyridge.steering.desk import Abilities, Parcel
 from hollyridge.steering.doorkeeper import Bucket, Doorkeeper
 from hollyridge.steering.presence import Presence
+from hollyridge.store.versions import EMPTY, Table
 
 
 class SaspTerms(NamedTuple):
@@ -52,14 +52,18 @@
 class Sheet:
     """One group of one load balancer: what it is to hold, and what of that it was not yet told."""
 
-    __slots__ = ("advice", "lines", "changed", "whole", "table")
+    __slots__ = ("advice", "value", "told", "whole", "table")
 
     def __init__(self) -> None:
         self.advice = GroupAdvice()
-        self.lines: dict[int, float] | None = None  # None until the module has given it a table
-        self.changed: dict[int, None] = {}
+        self.value: Table | None = None  # None until the module has given it a table
+        self.told = EMPTY
         self.whole, self.table = False, -1
 
+    @property
+    def due(self) -> bool:
+        return self.value is not None and (self.whole or self.value is not self.told)
+
 
 class Stream:
     """One connection, whoever is at its other end."""
@@ -310,10 +314,10 @@
                 return code
         for group in groups:
             sheet = stream.sheets.setdefault(group.name, Sheet())
-            if sheet.lines is None and stream.proxy >= 0:  # a later group of a proxy that has its tables
+            if sheet.value is None and stream.proxy >= 0:  # a later group of a proxy that has its tables
                 bound = self.machine.desk.bound.get(stream.proxy, {}).get(self.terms.groups[group.name])
                 if bound is not None:
-                    self.lay(stream, sheet, bound, self.machine.desk.tables.get(bound, {}))
+                    self.lay(stream, sheet, bound, self.machine.desk.store.latest(bound))
         return self.attend(stream) if groups else Code.OK
 
     def weights(self, stream: Stream, message: codec.GetWeights) -> codec.GetWeightsReply:
@@ -425,50 +429,39 @@
 
     # Out: what the core asks of a front.
 
-    def lines(self, proxy: int, parcel: Parcel) -> int:
+    def lines(self, proxy: int, parcel: Parcel) -> tuple[int, int]:
         stream = self.by_proxy.get(proxy)
         if stream is None:
-            return 0
+            return 0, 0
         bound = self.machine.desk.bound.get(proxy, {})
         tables = [bound.get(method) for name, method in self.terms.groups.items() if name in stream.sheets]
-        count = 0
-        for step in parcel.steps:
-            uses = tables.count(step.table)
-            count += uses * (len(step.lines) if type(step) is Whole else 1)
+        whole = sum(len(self.machine.desk.store.latest(table)) for table in tables if table is not None)
         if not stream.flags & Wants.NO_CHANGE:  # it is sent its groups in full, whatever changed
-            count = max(count, sum(len(self.machine.desk.tables.get(t, ())) for t in tables))
-        return count
+            return whole, whole
+        return sum(lines * tables.count(table) for table, lines in parcel.counts), whole
 
     def write(self, proxy: int, parcel: Parcel) -> None:
         stream = self.by_proxy.get(proxy)
         if stream is None:
             return
         stream.version = parcel.number
-        for step in parcel.steps:
-            for name, method in self.terms.groups.items():
-                sheet = stream.sheets.get(name)
-                if sheet is None:
-                    continue
-                if type(step) is Whole:
-                    if step.methods >> method & 1:
-                        self.lay(stream, sheet, step.table, step.lines)
-                elif sheet.lines is not None and sheet.table == step.table:
-                    if type(step) is PutLine:
-                        sheet.changed[step.task] = None
-                        if step.weight > 0:
-                            sheet.lines[step.task] = step.weight
-                        else:
-                            sheet.lines.pop(step.task, None)
-                    elif type(step) is DropTable:
-                        sheet.changed.update(dict.fromkeys(sheet.lines))
-                        sheet.lines.clear()
+        values = dict(parcel.tables)
+        for name, method in self.terms.groups.items():
+            sheet = stream.sheets.get(name)
+            if sheet is None:
+                continue
+            for table, mask in parcel.binds:
+                if mask >> method & 1:
+                    self.lay(stream, sheet, table, values.get(table) or self.machine.desk.store.latest(table))
+            if sheet.value is not None and sheet.table in values:
+                sheet.value = values[sheet.table]
         if parcel.mark >= 0:
             stream.pending.append((parcel.mark, parcel.at))
             del stream.pending[:-32]  # a later mark covers the earlier ones
         stream.due.set()
 
-    def lay(self, stream: Stream, sheet: Sheet, table: int, lines: dict[int, float]) -> None:
-        sheet.table, sheet.lines, sheet.whole = table, dict(lines), True
+    def lay(self, stream: Stream, sheet: Sheet, table: int, value: Table) -> None:
+        sheet.table, sheet.value, sheet.whole = table, value, True
         stream.given.set()
         stream.due.set()
 
@@ -478,14 +471,14 @@
             self.close(stream, why)
 
     def entries(self, stream: Stream, sheet: Sheet, whole: bool) -> tuple[codec.Weight, ...]:
-        if sheet.lines is None:
+        if sheet.value is None:
             return ()
         now, machine = self.clock(), self.machine
         whole = whole or sheet.whole or not stream.flags & Wants.NO_CHANGE
-        told = sheet.advice.advise(sheet.lines, sheet.changed, whole,
+        changed = () if whole else machine.desk.store.change(sheet.table, sheet.told, sheet.value).lines
+        told = sheet.advice.advise(sheet.value.lines, [task for task, _ in changed], whole,
                                    lambda task: machine.cold(now, task), machine.closed)
-        sheet.changed.clear()
-        sheet.whole = False
+        sheet.told, sheet.whole = sheet.value, False
         entries = []
         for task, figure in told.figures.items():
             member = self.bearers[task]
@@ -499,10 +492,10 @@
         """Frames for all that a pushed stream was not told yet; several only where one would be too long."""
         rows, frames, size = [], [], 0
         for name, sheet in stream.sheets.items():
-            if sheet.lines is None or not (sheet.whole or sheet.changed):
+            if not sheet.due:
                 continue
             group = codec.Group(stream.uid, name)
-            entries = self.entries(stream, sheet, whole=False)
+            entries = self.entries(stream, sheet, whole=False)  # none where only levels changed
             for at in range(0, len(entries), 900):
                 part = codec.WeightsOf(group, entries[at:at + 900])
                 if rows and size + len(part.weights) > 1500:
@@ -572,7 +565,7 @@
                         self.close(self.streams[number], why)
                 for task in [t for t in self.bearers if len(self.bearers) > 4 * len(self.machine.tasks) + 1024
                              and self.machine.tasks.names[t] not in self.machine.tasks.index
-                             and not self.machine.named(t)]:
+                             and not self.machine.desk.names(t)]:
                     self.agents.pop(self.bearers.pop(task).key, None)
 
     def status(self) -> dict:
--- a/hollyridge/steering/advice.py
+++ b/hollyridge/steering/advice.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 MOST = 0xFFFF
@@ -52,8 +52,9 @@
     def __init__(self) -> None:
         self.scale = 0.0
         self.said: dict[int, int] = {}
+        self.withheld: set[int] = set()  # told 0 because they were closed, whatever the table says
 
-    def advise(self, lines: dict[int, float], changed: Iterable[int], whole: bool,
+    def advise(self, lines: Mapping[int, float], changed: Iterable[int], whole: bool,
                cold: Callable[[int], bool], closed: Callable[[int], bool]) -> Advised:
         """Figures for the tasks in `changed`, or for all if `whole`; `lines` is the table after the change.
 
@@ -63,9 +64,12 @@
         if largest > 0 and not LEAST <= largest * self.scale <= MOST:
             whole, self.scale = True, AIM / largest
         tasks = {**dict.fromkeys(lines), **dict.fromkeys(self.said)} if whole else dict.fromkeys(changed)
+        tasks.update((task, None) for task in sorted(self.withheld) if not closed(task))
         figures = {}
         for task in tasks:
-            weight = 0.0 if closed(task) else lines.get(task, 0.0)
+            weight, shut = lines.get(task, 0.0), closed(task)
+            (self.withheld.add if shut and weight > 0 else self.withheld.discard)(task)
+            weight = 0.0 if shut else weight
             figures[task] = self.figure(weight, cold(task), len(lines) == 1)
         for task, figure in figures.items():
             if figure:
--- a/hollyridge/steering/channel.py
+++ b/hollyridge/steering/channel.py
@@ -10,22 +10,23 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from hollyridge.interface import PutLine
-from hollyridge.steering.desk import Parcel, Step
+from hollyridge.steering.desk import Parcel, merged
 
 
 class Waiting(NamedTuple):
+    """A message, what it costs with its head, and what it would cost with all its tables in full."""
+
     parcel: Parcel
     lines: float
+    whole: float
 
 
 class Channel:
     """`lines_per_s` is the pace, `head` the lines that each message costs beyond its own, `most` the lines
     that may wait, heads included.
 
-    >>> from hollyridge.interface import PutLine
     >>> channel = Channel(lines_per_s=10, head=1, most=100)
-    >>> channel.put(0, Parcel(4, 1, 0, (PutLine(1.0, 2, 0),), -1), 1)
+    >>> channel.put(0, Parcel(4, 1, 0, (), (), (), -1), 1, 5)
     >>> channel.take(199_999), channel.due
     (None, 200000)
     >>> channel.take(200_000).proxy, channel.waiting
@@ -41,38 +42,30 @@
         self.free_at = 0
         self.merged = self.over = self.lost_lines = self.highest = 0
 
-    def put(self, now: int, parcel: Parcel, lines: int) -> None:
-        cost = lines + self.head + (parcel.mark >= 0)
+    def put(self, now: int, parcel: Parcel, lines: int, whole: int) -> None:
+        extra = self.head + (parcel.mark >= 0)
+        cost = lines + extra
         if self.waiting + cost > self.most:
             key = self.newest.get(parcel.proxy)
             if key is not None:
-                self.merge(key, parcel, lines)
+                self.merge(key, parcel, lines, whole + extra)
                 return
             self.over += 1
         if not self.queue:
             self.free_at = max(self.free_at, now)
         self.key += 1
-        self.queue[self.key] = Waiting(parcel, cost)
+        self.queue[self.key] = Waiting(parcel, cost, max(whole, lines) + extra)
         self.newest[parcel.proxy] = self.key
         self.waiting += cost
         self.highest = max(self.highest, round(self.waiting))
 
-    def merge(self, key: int, parcel: Parcel, lines: int) -> None:
-        """Into a message that waits: a line said again takes the older one's place."""
-        old, cost = self.queue[key]
-        steps: list[Step] = []
-        again = {(s.table, s.task) for s in parcel.steps if type(s) is PutLine}
-        dropped = 0
-        for step in old.steps:
-            if type(step) is PutLine and (step.table, step.task) in again:
-                dropped += 1
-            else:
-                steps.append(step)
-        added = max(0, lines - dropped)
-        joined = parcel._replace(steps=(*steps, *parcel.steps), at=old.at,
-                                 mark=parcel.mark if parcel.mark >= 0 else old.mark)
-        self.queue[key] = Waiting(joined, cost + added)
-        self.waiting += added
+    def merge(self, key: int, parcel: Parcel, lines: int, whole: float) -> None:
+        """Into a message that waits: it costs no more than all its tables in full."""
+        old, cost, before = self.queue[key]
+        whole = max(whole, before)
+        joint = min(cost + lines, max(whole, cost))
+        self.queue[key] = Waiting(merged(old, parcel), joint, whole)
+        self.waiting += joint - cost
         self.merged += 1
 
     @property
@@ -90,7 +83,7 @@
         due = self.due
         if due is None or now < due:
             return None
-        key, (parcel, lines) = self.queue.popitem(last=False)
+        key, (parcel, lines, _) = self.queue.popitem(last=False)
         if self.newest.get(parcel.proxy) == key:
             del self.newest[parcel.proxy]
         self.waiting = max(0.0, self.waiting - lines) if self.queue else 0.0
--- a/hollyridge/steering/desk.py
+++ b/hollyridge/steering/desk.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple, Union
+from typing import NamedTuple
 
 from hollyridge.interface import AskReceipt, Attach, DropTable, Order, PutLine, SetLevel, Withdraw
+from hollyridge.store.versions import Store, Table
 
 
 class Abilities(NamedTuple):
@@ -18,41 +19,55 @@
     groups: int
 
 
-class Whole(NamedTuple):
-    """A table in full, for the methods whose bits are set."""
+class Parcel(NamedTuple):
+    """One message to one proxy. `number` is that of the decision, `binds` (table, mask of methods) in order,
+    `tables` the value of each table that changed for it, `counts` how many lines the module counts for each,
+    `mark` -1 for none."""
 
-    table: int
-    methods: int
-    lines: dict[int, float]
+    proxy: int
+    number: int
+    at: int
+    binds: tuple[tuple[int, int], ...]
+    tables: tuple[tuple[int, Table], ...]
+    counts: tuple[tuple[int, int], ...]
+    mark: int
+    out: tuple[tuple[int, bool], ...] = ()
 
 
-Step = Union[PutLine, Whole, SetLevel, Withdraw, DropTable]
+def merged(old: Parcel, new: Parcel) -> Parcel:
+    """One message for two: only the newest value of each table matters."""
+    tables = {**dict(old.tables), **dict(new.tables)}
+    counts = dict(old.counts)
+    for table, lines in new.counts:
+        counts[table] = min(counts.get(table, 0) + lines, 1 + len(tables[table]))
+    return Parcel(new.proxy, new.number, old.at, (*old.binds, *new.binds), tuple(tables.items()),
+                  tuple(counts.items()), new.mark if new.mark >= 0 else old.mark, (*old.out, *new.out))
 
 
-class Parcel(NamedTuple):
-    """One message to one proxy: steps in the order they were ordered. `number` is that of the decision."""
+class Owed:
+    """What one proxy is owed while a decision is being read."""
 
-    proxy: int
-    number: int
-    at: int
-    steps: tuple[Step, ...]
-    mark: int  # -1 for none
-    urgent: bool = False
+    __slots__ = ("binds", "counts", "out")
+
+    def __init__(self) -> None:
+        self.binds: list[tuple[int, int]] = []
+        self.counts: dict[int, int] = {}
+        self.out: list[tuple[int, bool]] = []
 
 
 class Desk:
     """Tables as ordered, and who uses which.
 
-    >>> desk = Desk(methods=2)
-    >>> can = Abilities(False, False, False, True, 1)
-    >>> for p in desk.carry(1, 5, [PutLine(1.0, 3, 0), Attach(9, 0, 0), AskReceipt(1, False)], {9: can}).parcels:
-    ...     print(p.proxy, p.steps, p.mark)
-    9 (Whole(table=0, methods=3, lines={3: 1.0}),) 1
+    >>> desk, can = Desk(methods=2, store=Store(4)), Abilities(False, False, False, True, 1)
+    >>> carried = desk.carry(1, 5, [PutLine(1.0, 3, 0), Attach(9, 0, 0), AskReceipt(1, False)], {9: can})
+    >>> for p in carried.parcels:
+    ...     print(p.proxy, p.binds, dict(p.tables[0][1].lines), p.counts, p.mark)
+    9 ((0, 3),) {3: 1.0} ((0, 2),) 1
     """
 
-    def __init__(self, methods: int) -> None:
+    def __init__(self, methods: int, store: Store) -> None:
         self.every = (1 << methods) - 1
-        self.tables: dict[int, dict[int, float]] = {}
+        self.store = store
         self.bound: dict[int, dict[int, int]] = {}  # proxy: table by method
         self.users: dict[int, dict[int, None]] = {}  # table: proxies, in the order they came
         self.out: set[int] = set()
@@ -61,57 +76,74 @@
         for table in set(self.bound.pop(proxy, {}).values()):
             self.users[table].pop(proxy, None)
 
+    def names(self, task: int) -> bool:
+        """Whether any table as it is now holds this task."""
+        return any(task in history[-1].lines for history in self.store.history.values() if history)
+
     def carry(self, now: int, number: int, orders: Iterable[Order], fronts: dict[int, Abilities]) -> Carried:
         """Take the orders about tables. An order that a proxy's front can't carry is refused with a reason;
         others go on."""
-        steps: dict[int, list[Step]] = {}
+        owed: dict[int, Owed] = {}
         refused: dict[str, int] = {}
+        edits: dict[int, tuple[dict, dict]] = {}
+        cleared: set[int] = set()
         mark, everyone = -1, False
 
         def refuse(why: str) -> None:
             refused[why] = refused.get(why, 0) + 1
 
-        def tell(proxies: Iterable[int], step: Step, needs: str = "") -> None:
-            for proxy in proxies:
+        def count(table: int, needs: str = "") -> None:
+            for proxy in self.users.get(table, ()):
                 if needs and not getattr(fronts[proxy], needs):
                     refuse(f"front has no {needs}")
                 else:
-                    steps.setdefault(proxy, []).append(step)
+                    counts = owed.setdefault(proxy, Owed()).counts
+                    counts[table] = counts.get(table, 0) + 1
 
         for order in orders:
             kind = type(order)
             if kind is PutLine:
-                lines = self.tables.setdefault(order.table, {})
-                if order.weight > 0:
-                    lines[order.task] = order.weight
-                else:
-                    lines.pop(order.task, None)
-                tell(self.users.get(order.table, ()), order)
+                edits.setdefault(order.table, ({}, {}))[0][order.task] = max(order.weight, 0.0)
+                count(order.table)
+            elif kind is SetLevel:
+                edits.setdefault(order.table, ({}, {}))[1][order.methods] = order.amount, order.retry
+                count(order.table, "levels")
+            elif kind is DropTable:
+                edits[order.table] = ({}, {})
+                cleared.add(order.table)
+                count(order.table)
             elif kind is Attach:
                 if order.proxy not in fronts:
                     refuse("proxy has left")
                     continue
                 mask = (order.methods or self.every) & self.every
                 self.bind(order.proxy, order.table, mask)
-                snapshot = dict(self.tables.get(order.table, {}))
-                tell([order.proxy], Whole(order.table, mask, snapshot))
-            elif kind is DropTable:
-                self.tables.pop(order.table, None)
-                tell(self.users.get(order.table, ()), order)
-            elif kind is SetLevel:
-                tell(self.users.get(order.table, ()), order, "levels")
+                mine = owed.setdefault(order.proxy, Owed())
+                mine.binds.append((order.table, mask))
+                size = len(self.store.latest(order.table)) + sum(map(len, edits.get(order.table, ())))
+                mine.counts[order.table] = 1 + size
             elif kind is Withdraw:
                 (self.out.add if order.out else self.out.discard)(order.task)
-                tell(self.bound, order, "withdrawals")
+                for proxy in self.bound:
+                    if fronts[proxy].withdrawals:
+                        owed.setdefault(proxy, Owed()).out.append((order.task, order.out))
+                    else:
+                        refuse("front has no withdrawals")
             elif kind is AskReceipt:
                 mark, everyone = order.mark, order.everyone
             else:
                 refuse(f"no {kind.__name__} here")
+        for table, (lines, levels) in edits.items():
+            self.store.put(number, table, lines, levels, table in cleared)
         if everyone:
             for proxy in fronts:
-                steps.setdefault(proxy, [])
-        parcels = [Parcel(proxy, number, now, tuple(todo), mark, any(type(s) is Whole for s in todo))
-                   for proxy, todo in steps.items()]
+                owed.setdefault(proxy, Owed())
+        parcels = []
+        for proxy, mine in owed.items():
+            used = set(self.bound.get(proxy, {}).values())
+            tables = tuple((table, self.store.latest(table)) for table in mine.counts if table in used)
+            counts = tuple((table, lines) for table, lines in mine.counts.items() if table in used)
+            parcels.append(Parcel(proxy, number, now, tuple(mine.binds), tables, counts, mark, tuple(mine.out)))
         return Carried(parcels, refused)
 
     def bind(self, proxy: int, table: int, mask: int) -> None:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -9,7 +9,7 @@
 from hollyridge.lab.policies import Even
 from hollyridge.rules import Assigner
 from hollyridge.steering import members
-from hollyridge.steering.desk import Abilities, Whole
+from hollyridge.steering.desk import Abilities
 from hollyridge.steering.members import Applicant, Deregistered, Quiesced, Registered, StreamLost
 from hollyridge.steering.news import Kind, Point
 
@@ -26,20 +26,15 @@
         self.tables, self.bound, self.log = {}, {}, []
 
     def lines(self, proxy, parcel):
-        return sum(len(s.lines) if type(s) is Whole else 1 for s in parcel.steps)
+        return sum(lines for _, lines in parcel.counts), sum(len(value) for _, value in parcel.tables)
 
     def write(self, proxy, parcel):
         self.log.append(parcel)
-        held = self.tables.setdefault(proxy, {})
-        for step in parcel.steps:
-            if type(step) is Whole:
-                held.clear()
-                held.update(step.lines)
-                self.bound[proxy] = step.table
-            elif type(step) is api.PutLine and step.table == self.bound.get(proxy):
-                held[step.task] = step.weight
-                if not step.weight:
-                    del held[step.task]
+        for table, _ in parcel.binds:
+            self.bound[proxy] = table
+        for table, value in parcel.tables:
+            if table == self.bound.get(proxy):
+                self.tables[proxy] = dict(value.lines)
 
 
 class House:
@@ -187,7 +182,8 @@
         for k in range(6):
             house.met(k, bad=20 if k == 3 and second < 4 else 0, zone=k % 2)
         house.run(1)
-    return [(p.proxy, p.number, p.at, p.steps) for p in house.front.log]
+    return [(p.proxy, p.number, p.at, p.binds, [(t, sorted(v.lines.items())) for t, v in p.tables])
+            for p in house.front.log]
 
 
 def test_same_events_same_orders():
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -9,7 +9,7 @@
 from hollyridge.steering import members
 from hollyridge.steering.advice import LEAST, MOST, GroupAdvice
 from hollyridge.steering.channel import Channel
-from hollyridge.steering.desk import Abilities, Desk, Parcel, Whole
+from hollyridge.steering.desk import Abilities, Desk, Parcel
 from hollyridge.steering.door import Door
 from hollyridge.steering.doorkeeper import Doorkeeper
 from hollyridge.steering.members import (
@@ -18,6 +18,7 @@
 from hollyridge.steering.news import SECOND as NS
 from hollyridge.steering.news import Kind, News, Point
 from hollyridge.steering.presence import TAKEOVERS, Presence
+from hollyridge.store.versions import EMPTY, Store, difference
 
 SECOND = 1_000_000
 PLAIN = Abilities(False, False, False, True, 1)
@@ -59,16 +60,60 @@
     assert group.advise({1: 1.0, 2: 1.0}, [], True, lambda i: False, {2}.__contains__).figures == {1: 16384, 2: 0}
 
 
+def test_a_task_closed_for_a_moment_comes_back_with_its_old_weight():
+    group, shut = GroupAdvice(), set()
+    lines = {1: 1.0, 2: 1.0}
+    group.advise(lines, [], True, lambda i: False, shut.__contains__)
+    shut.add(2)
+    assert group.advise(lines, [2], False, lambda i: False, shut.__contains__).figures == {2: 0}
+    shut.clear()
+    assert group.advise(lines, [], False, lambda i: False, shut.__contains__).figures == {2: 16384}
+
+
+# Versions of tables.
+
+def test_every_version_can_be_reached_from_every_kept_one():
+    rng, store, truth = Random(4), Store(keep=10), {}
+    for version in range(1, 60):
+        lines = {rng.randrange(20): rng.choice([0.0, 1.0, 2.0]) for _ in range(rng.randrange(5))}
+        levels = {0: (rng.random(), 0)} if rng.random() < 0.2 else {}
+        store.put(version, 0, lines, levels, clear=rng.random() < 0.1)
+        truth[version] = store.latest(0)
+        for old in range(1, version + 1):
+            change = store.since(0, old)
+            assert (change is None) == (old <= version - 10)
+            if change is not None:
+                held = dict(truth[old].lines)
+                held.update(change.lines)
+                assert {k: w for k, w in held.items() if w} == dict(store.latest(0).lines)
+    with pytest.raises(ValueError):
+        store.put(3, 0, {})
+    assert store.at(0, 3) is None and len(store.memo) <= Store.MEMO
+    store.drop(0)
+    assert store.latest(0) is EMPTY
+
+
+def test_the_same_version_put_twice_is_one_version():
+    store = Store(4)
+    store.put(1, 0, {1: 1.0})
+    store.put(2, 0, {2: 1.0})
+    assert store.since(0, 1).lines == ((2, 1.0),)
+    store.put(2, 0, {3: 1.0})
+    assert store.since(0, 1).lines == ((2, 1.0), (3, 1.0)) and len(store.history[0]) == 2
+    assert len(difference(store.at(0, 1), store.at(0, 1))) == 0
+
+
 # The channel.
 
 def parcel(proxy, lines=1, mark=-1, number=1, table=0):
-    return Parcel(proxy, number, 0, tuple(PutLine(1.0, i, table) for i in range(lines)), mark)
+    value = Store(1).put(number, table, {i: 1.0 for i in range(lines)})
+    return Parcel(proxy, number, 0, (), ((table, value),), ((table, lines),), mark)
 
 
 def test_messages_leave_in_order_at_the_stated_pace():
     channel, left = Channel(lines_per_s=1000, head=3, most=10_000), []
     for k in range(50):
-        channel.put(0, parcel(k, 7), 7)
+        channel.put(0, parcel(k, 7), 7, 7)
     for now in range(0, SECOND, 1000):
         while (sent := channel.take(now)) is not None:
             left.append((now, sent.proxy))
@@ -77,27 +122,30 @@
 
 
 def test_at_the_limit_messages_merge_and_none_is_lost():
-    channel, rng, wanted = Channel(1000, 3, most=200), Random(5), {}
+    channel, rng, store, wanted, marks = Channel(1000, 3, most=200), Random(5), Store(1), {}, {}
     highest = 0
     for number in range(400):
-        proxy = number % 10
-        steps = tuple(PutLine(rng.random(), task, 0) for task in rng.sample(range(12), 4))
-        wanted.setdefault(proxy, {}).update((s.task, s.weight) for s in steps)
-        channel.put(0, Parcel(proxy, number, 0, steps, -1), len(steps))
+        proxy, table = number % 10, rng.randrange(2)
+        value = store.put(number, table, {task: rng.random() for task in rng.sample(range(12), 4)})
+        wanted.setdefault(proxy, {})[table] = value
+        if number % 7 == 0:
+            marks[proxy] = number
+        mark = number if number % 7 == 0 else -1
+        channel.put(0, Parcel(proxy, number, 0, ((table, 1),), ((table, value),), ((table, 4),), mark), 4, 24)
         highest = max(highest, channel.waiting)
-    assert highest <= 10 * (12 + 3) + 200 and channel.merged > 300
-    got, now = {}, 0
+    assert highest <= 10 * (24 + 4) + 200 and channel.merged > 300
+    got, told = {}, {}
     while channel.due is not None:
-        now = channel.due
-        sent = channel.take(now)
-        got.setdefault(sent.proxy, {}).update((s.task, s.weight) for s in sent.steps)
-    assert got == wanted
+        sent = channel.take(channel.due)
+        got.setdefault(sent.proxy, {}).update(sent.tables)
+        told[sent.proxy] = max(sent.mark, told.get(sent.proxy, -1))
+    assert got == wanted and told == marks
 
 
 def test_what_waits_for_a_broken_stream_is_lost_and_counted():
     channel = Channel(1000, 3, 1000)
     for proxy in (1, 2, 1):
-        channel.put(0, parcel(proxy, 5), 5)
+        channel.put(0, parcel(proxy, 5), 5, 5)
     assert channel.lose(1) == 2 and channel.waiting == 8 and channel.lost_lines == 16
     assert channel.take(SECOND).proxy == 2
 
@@ -105,7 +153,7 @@
 def test_a_sender_that_stood_still_does_not_burst():
     channel = Channel(100, 0, 10_000)
     for k in range(100):
-        channel.put(0, parcel(k, 10), 10)
+        channel.put(0, parcel(k, 10), 10, 10)
     sent = 0
     while channel.take(5 * SECOND) is not None:
         sent += 1
@@ -114,16 +162,18 @@
 
 # The desk.
 
-def test_one_message_a_proxy_with_steps_in_order():
-    desk = Desk(2)
+def test_one_message_a_proxy_with_what_its_tables_are_in_the_end():
+    desk = Desk(2, Store(4))
     fronts = {1: PLAIN, 2: PLAIN}
     desk.carry(0, 1, [PutLine(1.0, 5, 0), Attach(1, 0, 0), Attach(2, 0, 0)], fronts)
     orders = [PutLine(2.0, 6, 0), Attach(2, 1, 2), PutLine(0.0, 5, 0), AskReceipt(4, False)]
     carried = desk.carry(1, 2, orders, fronts)
-    steps = {p.proxy: p.steps for p in carried.parcels}
-    assert steps[1] == (PutLine(2.0, 6, 0), PutLine(0.0, 5, 0))
-    assert steps[2] == (PutLine(2.0, 6, 0), Whole(1, 2, {}), PutLine(0.0, 5, 0))
-    assert all(p.mark == 4 for p in carried.parcels)
+    parcels = {p.proxy: p for p in carried.parcels}
+    assert {p: dict(dict(row.tables)[0].lines) for p, row in parcels.items()} == {1: {6: 2.0}, 2: {6: 2.0}}
+    assert parcels[1].counts == ((0, 2),) and parcels[2].counts == ((0, 2), (1, 1))
+    assert parcels[2].binds == ((1, 2),) and all(p.mark == 4 for p in carried.parcels)
+    desk.forget(2)
+    assert [p.proxy for p in desk.carry(2, 3, [PutLine(1.0, 7, 0), PutLine(1.0, 7, 1)], fronts).parcels] == [1]
 
 
 @pytest.mark.parametrize("order, why", [
@@ -134,7 +184,7 @@
     (api.TellPeer(1, b""), "no TellPeer here"),
 ])
 def test_what_cannot_be_carried_is_refused_and_counted(order, why):
-    desk = Desk(1)
+    desk = Desk(1, Store(4))
     desk.carry(0, 1, [PutLine(1.0, 5, 0), Attach(1, 0, 0)], {1: PLAIN})
     assert desk.carry(0, 2, [order], {1: PLAIN}).refused == {why: 1}
 
