--- a/hollyridge/cli/day.py
+++ b/hollyridge/cli/day.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import tempfile
 from pathlib import Path
 
 import click
+import gevent
 import msgspec
 
 from hollyridge.lab import script as scripts
@@ -18,7 +20,7 @@
          5: "short queue, few messages"}
 
 
-def play(path: str, report: str | None, seed: int | None, policy: str, as_json: bool) -> int:
+def play(path: str, report: str | None, seed: int | None, policy: str, as_json: bool, fronts: str) -> int:
     try:
         script = scripts.load(path)
     except FaultsError as trouble:
@@ -28,17 +30,22 @@
     if policy and policy not in POLICIES:
         click.echo(f"--policy: one of {', '.join(POLICIES)}", err=True)
         return 2
+    names = tuple(fronts.split(","))
+    if not set(names) <= {"sasp", "clone"}:
+        click.echo("--fronts: sasp, clone, or both with a comma", err=True)
+        return 2
     if report is not None:
         Path(report).mkdir(parents=True, exist_ok=True)
         if any(Path(report).glob("*.jsonl")):
             click.echo(f"--report: {report} holds recordings already; name another folder", err=True)
             return 2
-        return run(script, Path(report), seed, policy, as_json, keep=True)
+        return run(script, Path(report), seed, policy, as_json, names, keep=True)
     with tempfile.TemporaryDirectory(prefix="hollyridge-day-") as folder:
-        return run(script, Path(folder), seed, policy, as_json, keep=False)
+        return run(script, Path(folder), seed, policy, as_json, names, keep=False)
 
 
-def run(script: scripts.Script, folder: Path, seed: int | None, policy: str, as_json: bool, keep: bool) -> int:
+def run(script: scripts.Script, folder: Path, seed: int | None, policy: str, as_json: bool,
+        fronts: tuple[str, ...], keep: bool) -> int:
     with click.progressbar(length=1000, label=f"{script.day.length_s:.0f} s", file=sys.stderr) as bar:
         told = 0
 
@@ -46,27 +53,30 @@
             nonlocal told
             bar.update(round(part * 1000) - told)
             told = round(part * 1000)
+        main = gevent.getcurrent()
+        gevent.signal_handler(signal.SIGTERM, lambda: main.throw(DayError("ended by a signal")))
         try:
-            outcome = Day(script, folder, policy, seed, tick).play()
+            outcome = Day(script, folder, policy, seed, tick, fronts).play()
         except DayError as trouble:
             click.echo(f"the day could not be played: {trouble}", err=True)
             for log in sorted(folder.glob("*.log")):
                 for line in log.read_text(errors="replace").splitlines()[-3:]:
                     click.echo(f"{log.name}: {line[:300]}", err=True)
             return 2
-    show(outcome, as_json)
+    show(outcome, as_json, len(fronts) > 1)
     if keep:
         from hollyridge.lab.page import write
         (folder / "outcome.json").write_bytes(msgspec.json.encode(outcome))
         click.echo(f"report: {write(folder, script, outcome)}", err=True)
-    return 0 if all(v.kept for v in outcome.verdicts) else 1
+    return 0 if all(v.kept for v in outcome.verdicts) and not outcome.parity[1] else 1
 
 
-def show(outcome: Outcome, as_json: bool) -> None:
+def show(outcome: Outcome, as_json: bool, both: bool) -> None:
     kept = sum(v.kept for v in outcome.verdicts)
     if as_json:
         rows = [v._asdict() for v in outcome.verdicts]
-        click.echo(msgspec.json.encode({"rules": rows, **outcome.figures, "broken": len(rows) - kept}))
+        click.echo(msgspec.json.encode({"rules": rows, **outcome.figures, "broken": len(rows) - kept,
+                                        "parity": outcome.parity}))
         return
     f = outcome.figures
     click.echo(f"RPCs {f['rpcs']}, ok {f['ok']}, tries {f['tries']}; criticality in time {f['served']:.3f}, "
@@ -76,4 +86,7 @@
     for v in outcome.verdicts:
         click.echo(f"rule {v.rule} {'kept  ' if v.kept else 'BROKEN'} {v.nearest:6.1%} of the limit  "
                    f"{RULES[v.rule]}: {v.where}")
+    if both:
+        compared, differ, where = outcome.parity
+        click.echo(f"parity: {compared} tables compared, {differ} differ{': ' + where if where else ''}")
     click.echo(f"rules: {kept} kept, {len(outcome.verdicts) - kept} broken")
--- a/hollyridge/cli/main.py
+++ b/hollyridge/cli/main.py
@@ -77,14 +77,15 @@
 @click.option("--report", type=click.Path(file_okay=False), help="Keep recordings here, with a page.")
 @click.option("--seed", type=int, help="Instead of the script's own.")
 @click.option("--policy", default="", help="Another decision module of the laboratory, to compare with.")
+@click.option("--fronts", default="sasp", show_default=True, help="sasp, clone, or both: sasp,clone.")
 @click.option("--json", "as_json", is_flag=True, help="Print verdicts and figures as one JSON object.")
-def day(script: str, report: str | None, seed: int | None, policy: str, as_json: bool) -> None:
+def day(script: str, report: str | None, seed: int | None, policy: str, fronts: str, as_json: bool) -> None:
     """Play the day in SCRIPT against a real assigner process on loopback, and check the five rules from what
     passed on the sockets. Exit code 0 only if all were kept."""
     from gevent import monkey
     monkey.patch_all()
     from hollyridge.cli.day import play
-    sys.exit(play(script, report, seed, policy, as_json))
+    sys.exit(play(script, report, seed, policy, as_json, fronts))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/hollyridge/client/__init__.py
@@ -0,0 +1,7 @@
+"""The client library: one surface, two protocols. `SaspGateway` and `CloneGateway` hold the same tables."""
+
+from hollyridge.client.clone import CloneGateway
+from hollyridge.client.sasp import SaspGateway
+from hollyridge.client.surface import Gateway, State
+
+__all__ = ["CloneGateway", "Gateway", "SaspGateway", "State"]
--- /dev/null
+++ b/hollyridge/client/surface.py
@@ -0,0 +1,132 @@
+"""What both client libraries are to their user.
+
+A gateway keeps the tables of one proxy. `run` keeps its stream, dials again after growing, jittered waits, and goes
+on for ever; call it in a thread or greenlet of its own, or let `start` do so. All else may be called from anywhere:
+tables are replaced whole, so a reader in mid-pick keeps the one it has.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from enum import Enum
+from random import Random
+from types import MappingProxyType
+
+from tenacity import RetryCallState, wait_random_exponential
+
+from hollyridge.client.picking import Picker
+
+NO_LINES: Mapping[str, float] = MappingProxyType({})
+
+
+class State(Enum):
+    """FRESH: the stream stands. STALE: it does not, what is held is used. CUT_OFF: not for `cut_off_after`."""
+
+    FRESH = "fresh"
+    STALE = "stale"
+    CUT_OFF = "cut off"
+
+
+class Gateway:
+    """`methods` in the order of the assigner's settings. `standing` is used until a table comes."""
+
+    def __init__(self, uid: str, methods: list[str], standing: Mapping[str, float] | None = None, pick: str = "p2c",
+                 rng: Random | None = None, cut_off_after: float = 30.0,
+                 sleep: Callable[[float], None] = time.sleep) -> None:
+        self.uid, self.methods, self.sleep, self.cut_off_after = uid, methods, sleep, cut_off_after
+        self.rng = rng or Random()
+        self.tables: dict[str, Mapping[str, float]] = {m: MappingProxyType(dict(standing or {})) for m in methods}
+        self.levels: dict[str, tuple[float, int]] = {}
+        self.pickers = {method: Picker(pick, self.rng) for method in methods}
+        for method, picker in self.pickers.items():
+            picker.set(self.tables[method])
+        self.listeners: list[Callable[[Gateway], None]] = []
+        self.heard_at: float | None = None  # when the stream was last known to stand
+        self.standing_stream = False
+        self.stopped = False
+        self.trouble = ""
+        self.sessions = 0
+        self.watch: Callable[[bool], None] = lambda begins: None  # told when a session begins and when it is over
+
+    # For the user.
+
+    def table_for(self, method: str) -> Mapping[str, float]:
+        """Weight by `host:port`; what is held, however old. Never half a change."""
+        return self.tables.get(method, NO_LINES)
+
+    def pick(self, method: str, out: Callable[[str], int] = lambda task: 0,
+             avoid: frozenset | set = frozenset()) -> str | None:
+        """A task for one RPC, None without lines."""
+        return self.pickers[method].choose(out, avoid)
+
+    def level_for(self, method: str) -> tuple[float, int]:
+        """What part of the RPCs to let in, and how to try again (0: not, 1: one on proof that the first never ran,
+        2: one after any failure, 3: two)."""
+        return self.levels.get(method, (1.0, 0))
+
+    def on_change(self, call: Callable[[Gateway], None]) -> None:
+        """Call this after each change, from the gateway's own thread."""
+        self.listeners.append(call)
+
+    @property
+    def state(self) -> State:
+        if self.standing_stream:
+            return State.FRESH
+        return State.STALE if self.age < self.cut_off_after else State.CUT_OFF
+
+    @property
+    def age(self) -> float:
+        """Seconds since the stream was last known to stand; infinite if it never was."""
+        return float("inf") if self.heard_at is None else time.monotonic() - self.heard_at
+
+    def start(self) -> None:
+        threading.Thread(target=self.run, daemon=True, name=f"gateway {self.uid}").start()
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.hang_up()
+
+    # For the protocols.
+
+    def lay(self, tables: Mapping[str, Mapping[str, float]], levels: Mapping[str, tuple[float, int]]) -> None:
+        """Go by these from now on; methods that are not named keep what they have."""
+        laid = {method: MappingProxyType(dict(lines)) for method, lines in tables.items() if method in self.pickers}
+        self.tables = {**self.tables, **laid}
+        self.levels = dict(levels)
+        for method, lines in laid.items():
+            self.pickers[method].set(lines)
+        for call in self.listeners:
+            call(self)
+
+    def alive(self) -> None:
+        self.heard_at, self.standing_stream = time.monotonic(), True
+
+    def run(self) -> None:
+        """Keep a stream until `stop`."""
+        wait, failed = wait_random_exponential(multiplier=0.1, max=2.0), 0
+        while not self.stopped:
+            self.sessions += 1
+            begun = time.monotonic()
+            self.watch(True)
+            try:
+                self.session()
+                self.trouble = "closed"
+            except Exception as trouble:  # whatever it is, what is held is used and the stream dialled again
+                self.trouble = f"{type(trouble).__name__}: {trouble}"
+            self.standing_stream = False
+            self.hang_up()
+            self.watch(False)
+            failed = 1 if time.monotonic() - begun > 5 else failed + 1
+            state = RetryCallState(None, None, (), {})
+            state.attempt_number = min(failed, 10)
+            if not self.stopped:
+                self.sleep(0.02 + wait(state))
+
+    def session(self) -> None:
+        """One stream, until it ends. Calls `alive` while it stands and `lay` at changes."""
+        raise NotImplementedError
+
+    def hang_up(self) -> None:
+        """End the stream that there is, if any."""
--- /dev/null
+++ b/hollyridge/clone/front.py
@@ -0,0 +1,323 @@
+"""The service side of the pub-sub front, on gevent: snapshots by request, numbered changes to all at once.
+
+A table's change is said once and goes to every proxy that uses it, when the first of their messages leaves the
+channel; the others' turns pass without a word but take their time. Who lags is known by what it says it has
+applied: it takes a snapshot in place of what it missed (so only the newest state is ever owed), and is cut off when
+it has not caught up within the patience that `steering/presence.py` has for unread orders.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import zmq.green as zmq
+
+from hollyridge.clone import codec
+from hollyridge.clone.codec import CloneError
+from hollyridge.clone.ledger import Ledger
+from hollyridge.core.loop import Loop
+from hollyridge.steering.desk import Abilities, Parcel
+from hollyridge.steering.doorkeeper import Bucket, Doorkeeper
+from hollyridge.steering.presence import Presence
+from hollyridge.store.versions import EMPTY, Table
+
+
+class CloneTerms(NamedTuple):
+    """`port` is that of the snapshot socket, the publisher and the collector have the next two. `waiting_most`:
+    messages that may wait in the library for one reader. `methods`: names in order."""
+
+    host: str
+    port: int
+    waiting_most: int
+    beat_ms: int
+    proxies_most: int
+    usual_rate: float
+    methods: tuple[str, ...]
+
+
+class Reader:
+    """One joined proxy."""
+
+    __slots__ = ("uid", "number", "identity", "proxy", "home", "seqs", "marks", "asks", "credit", "waits_for_home")
+
+    def __init__(self, uid: str, number: int, identity: bytes, asks: Bucket) -> None:
+        self.uid, self.number, self.identity, self.asks = uid, number, identity, asks
+        self.proxy, self.home = -1, f"/proxy/{uid}/"
+        self.seqs: dict[str, int] = {}
+        self.marks: deque[tuple[dict[str, int], int, int]] = deque()
+        self.credit: set[str] = set()  # tables whose first snapshot the channel has counted already
+        self.waits_for_home = True
+
+
+class CloneFront:
+    """Serves `terms` for the machine of `loop`. `name_of(task)` is a task's `host:port`. `admit(user, uid)` says
+    whether a key's bearer may go by this name; without keys everyone may."""
+
+    def __init__(self, loop: Loop, terms: CloneTerms, presence: Presence, keeper: Doorkeeper,
+                 zone_of: Callable[[str], int], name_of: Callable[[int], str], log, context: zmq.Context,
+                 secure: Callable = lambda sock: None, admit: Callable[[str, str], bool] = lambda user, uid: True,
+                 ) -> None:
+        self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
+        self.terms, self.presence, self.keeper = terms, presence, keeper
+        self.zone_of, self.name_of, self.log, self.admit = zone_of, name_of, log, admit
+        self.abilities = Abilities(levels=True, further_tries=True, withdrawals=False, receipts=True, groups=1)
+        self.ledger = Ledger(os.urandom(8).hex(), terms.beat_ms)
+        self.readers: dict[str, Reader] = {}
+        self.by_proxy: dict[int, Reader] = {}
+        self.by_number: dict[int, Reader] = {}
+        self.published: dict[int, Table] = {}
+        self.number = 0
+        self.counts = dict.fromkeys(("asked", "snapshots", "published", "bytes_out", "bad", "refused", "cut",
+                                     "acks", "pub_full", "home_dropped"), 0)
+        self.sockets = {}
+        for name, kind in (("snapshot", zmq.ROUTER), ("publisher", zmq.PUB), ("collector", zmq.PULL)):
+            sock = self.sockets[name] = context.socket(kind)
+            sock.linger = 0
+            sock.sndhwm = sock.rcvhwm = terms.waiting_most
+            sock.maxmsgsize = codec.PART_MOST
+            secure(sock)
+        self.sockets["snapshot"].router_mandatory = True
+        self.jobs: list = []
+
+    # Life.
+
+    def start(self) -> int:
+        """Listen; returns the first of the three ports. OSError if one is taken."""
+        try:
+            for at, sock in enumerate(self.sockets.values()):
+                sock.bind(f"tcp://{self.terms.host}:{self.terms.port + at}")
+        except zmq.ZMQError as trouble:
+            raise OSError(trouble.errno, f"{trouble}: ports {self.terms.port} to {self.terms.port + 2}") from None
+        self.jobs = [gevent.spawn(job) for job in (self.answer, self.collect, self.beat)]
+        self.log.info("clone listens", host=self.terms.host, port=self.terms.port)
+        return self.terms.port
+
+    def stop(self) -> None:
+        gevent.killall(self.jobs, block=False)
+        for sock in self.sockets.values():
+            sock.close()
+
+    # What comes in.
+
+    def parts(self, sock) -> tuple[list[bytes], str, str]:
+        """Parts of a message, the peer's address and the user its key stands for."""
+        frames = sock.recv_multipart(copy=False)
+        said = []
+        for name in ("Peer-Address", "User-Id"):
+            try:
+                said.append(frames[-1].get(name))
+            except zmq.ZMQError:
+                said.append("")
+        return [bytes(frame) for frame in frames], said[0], said[1]
+
+    def answer(self) -> None:
+        while True:
+            parts, address, user = self.parts(self.sockets["snapshot"])
+            try:
+                message = codec.decode(parts[1:])
+                if type(message) is not codec.Icanhaz:
+                    raise CloneError("only ICANHAZ is answered here")
+                self.asked(parts[0], message.subtree, address, user)
+            except CloneError as trouble:
+                self.bad(address, str(trouble))
+
+    def bad(self, address: str, why: str) -> None:
+        self.counts["bad"] += 1
+        if self.counts["bad"] & (self.counts["bad"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+            self.log.warning("bad message", peer=address, why=why, times=self.counts["bad"])
+
+    def asked(self, identity: bytes, subtree: str, address: str, user: str) -> None:
+        self.counts["asked"] += 1
+        now, steps = self.clock(), subtree.split("/")
+        if len(steps) != 4 or steps[0] or steps[3] or steps[1] not in ("proxy", "table"):
+            raise CloneError("no such subtree")
+        if steps[1] == "proxy":
+            self.hello(now, identity, steps[2], address, user)
+            return
+        reader = next((r for r in self.by_number.values() if r.identity == identity), None)
+        if reader is None or subtree not in self.wanted(reader):
+            self.counts["refused"] += 1
+            return
+        if subtree in reader.credit:
+            reader.credit.discard(subtree)
+        elif not reader.asks.draw(now):
+            self.counts["refused"] += 1
+            return
+        else:  # a repair: the channel has not counted it
+            size = len(self.ledger.held.get(subtree, ()))
+            self.machine.channel.charge(now, size + self.machine.channel.head)
+        self.send(reader, subtree)
+
+    def wanted(self, reader: Reader) -> set[str]:
+        return {f"/table/{table}/" for table in self.machine.desk.bound.get(reader.proxy, {}).values()}
+
+    def hello(self, now: int, identity: bytes, uid: str, address: str, user: str) -> None:
+        if not uid or len(uid) > 64 or not self.admit(user, uid):
+            raise CloneError(f"{user or 'a stranger'} may not go by the name {uid[:64]!r}")
+        reader = self.readers.get(uid)
+        if reader is not None and reader.identity == identity:  # it lost something of its own subtree
+            if not reader.waits_for_home and reader.asks.draw(now):
+                self.send(reader, reader.home)
+            return
+        zone = self.zone_of(address)
+        if zone < 0 or len(self.readers) >= self.terms.proxies_most:
+            self.counts["refused"] += 1
+            return
+        self.number += 1
+        came = self.presence.came(now, self.number, uid, push=False)
+        if came.turned_away:
+            self.counts["refused"] += 1
+            return
+        if reader is not None:
+            self.leave(now, reader, "its name came again in a newer session")
+        reader = self.readers[uid] = Reader(uid, self.number, identity, self.keeper.answers())
+        proxy = self.machine.join(now, self, uid, zone, self.terms.usual_rate)
+        if proxy is None:
+            del self.readers[uid]
+            self.presence.left(self.number)
+            return
+        reader.proxy = proxy
+        self.by_proxy[proxy] = self.by_number[reader.number] = reader
+        self.log.info("joined", uid=uid, proxy=proxy, zone=zone, front="clone")
+        self.loop.nudge()
+
+    def leave(self, now: int, reader: Reader, why: str) -> None:
+        if self.readers.get(reader.uid) is reader:
+            del self.readers[reader.uid]
+        self.by_number.pop(reader.number, None)
+        self.presence.left(reader.number)
+        self.ledger.drop(reader.home)
+        if self.by_proxy.get(reader.proxy) is reader:
+            del self.by_proxy[reader.proxy]
+            self.machine.leave(now, reader.proxy)
+        self.log.info("stream ended", uid=reader.uid, why=why, front="clone")
+        self.loop.nudge()
+
+    def collect(self) -> None:
+        while True:
+            parts, address, user = self.parts(self.sockets["collector"])
+            try:
+                message = codec.decode(parts, collector=True)
+                steps = getattr(message, "key", "").split("/")
+                if len(steps) != 4 or steps[1] != "proxy" or steps[3] != "ack":
+                    raise CloneError("no such key can be set")
+                if not self.admit(user, steps[2]):
+                    raise CloneError(f"{user or 'a stranger'} may not speak for {steps[2][:64]!r}")
+                reader = self.readers.get(steps[2])
+                if reader is not None and message.uuid == codec.uuid_of(reader.identity.hex()):
+                    self.ack(self.clock(), reader, codec.value_of(codec.Ack, message.value))
+            except CloneError as trouble:
+                self.bad(address, str(trouble))
+
+    def ack(self, now: int, reader: Reader, word: codec.Ack) -> None:
+        """What it has applied: a sign of life, a receipt, and how far it lags."""
+        self.counts["acks"] += 1
+        self.presence.asked(now, reader.number)
+        if word.epoch and word.epoch != self.ledger.epoch:
+            return
+        reader.seqs = word.seqs
+        while reader.marks and self.reached(reader, reader.marks[0][0]):
+            _, mark, at = reader.marks.popleft()
+            self.machine.receipt(now, reader.proxy, mark, now - at)
+            self.loop.nudge()
+
+    @staticmethod
+    def reached(reader: Reader, needed: dict[str, int]) -> bool:
+        return all(reader.seqs.get(subtree, -1) >= seq for subtree, seq in needed.items())
+
+    def beat(self) -> None:
+        """Heartbeats, and a look at who lags or is silent."""
+        while True:
+            gevent.sleep(self.terms.beat_ms / 1000)
+            now = self.clock()
+            self.publish([codec.Hugz()])
+            self.publish([self.ledger.beat(subtree) for subtree in list(self.ledger.heads)])
+            for reader in list(self.by_number.values()):
+                needed = self.heads_of(reader)
+                behind = bool(needed) and not self.reached(reader, needed)
+                taken = sum(reader.seqs.get(subtree, 0) for subtree in needed)
+                self.presence.unread(now, reader.number, taken, behind)
+            for number, why in self.presence.overdue(now):
+                reader = self.by_number.get(number)
+                if reader is not None:
+                    self.counts["cut"] += 1
+                    self.leave(now, reader, why)
+
+    def heads_of(self, reader: Reader) -> dict[str, int]:
+        """The newest head of each subtree that it uses."""
+        subtrees = [reader.home, *self.wanted(reader)]
+        return {one: self.ledger.heads[one].seq for one in subtrees if one in self.ledger.heads}
+
+    # What goes out.
+
+    def publish(self, messages: list) -> None:
+        sock = self.sockets["publisher"]
+        for message in messages:
+            parts = codec.encode(message)
+            self.counts["published"] += 1
+            self.counts["bytes_out"] += sum(map(len, parts))
+            sock.send_multipart(parts)  # never blocks: a full reader loses it, sees the gap, and asks
+
+    def send(self, reader: Reader, subtree: str) -> None:
+        self.counts["snapshots"] += 1
+        try:
+            for message in self.ledger.snapshot(subtree):
+                parts = codec.encode(message)
+                self.counts["bytes_out"] += sum(map(len, parts))
+                self.sockets["snapshot"].send_multipart([reader.identity, *parts], flags=zmq.NOBLOCK)
+        except zmq.ZMQError:  # gone, or full: it will ask again, or be overdue
+            self.counts["pub_full"] += 1
+
+    def lines(self, proxy: int, parcel: Parcel) -> tuple[int, int]:
+        tables = set(self.machine.desk.bound.get(proxy, {}).values())
+        return (sum(lines for _, lines in parcel.counts),
+                sum(1 + len(self.machine.desk.store.latest(table)) for table in tables))
+
+    def write(self, proxy: int, parcel: Parcel) -> None:
+        reader = self.by_proxy.get(proxy)
+        for table, value in parcel.tables:
+            self.say(table, value)
+        if reader is None:
+            return
+        if parcel.binds:
+            bound = self.machine.desk.bound.get(proxy, {})
+            keys = {f"{reader.home}bind/{self.terms.methods[k]}": codec.json(codec.Bind(table))
+                    for k, table in sorted(bound.items())}
+            for table in set(bound.values()):
+                if f"/table/{table}/" not in self.ledger.heads:
+                    self.say(table, self.machine.desk.store.latest(table))
+            reader.credit.update(f"/table/{table}/" for table, _ in parcel.binds)
+            told = self.ledger.set(reader.home, parcel.number, keys)
+            if reader.waits_for_home:
+                reader.waits_for_home = False
+                self.send(reader, reader.home)
+            else:
+                self.publish(told)
+        if parcel.mark >= 0:
+            reader.marks.append((self.heads_of(reader), parcel.mark, parcel.at))
+            while len(reader.marks) > 32:
+                reader.marks.popleft()
+
+    def say(self, table: int, value: Table) -> None:
+        """Publish a table's newest value, once. A closed task is left out whatever an older order says."""
+        if value.version <= self.published.get(table, EMPTY).version and table in self.published:
+            return
+        self.published[table] = value
+        start = f"/table/{table}/"
+        keys = {f"{start}line/{self.name_of(task)}": codec.json(codec.Line(round(weight, 6)))
+                for task, weight in value.lines.items() if not self.machine.closed(task)}
+        keys.update((f"{start}level/{mask}", codec.json(codec.Level(round(amount, 4), retry)))
+                    for mask, (amount, retry) in value.levels.items())
+        self.publish(self.ledger.set(start, value.version, keys))
+
+    def detach(self, proxy: int, why: str) -> None:
+        reader = self.by_proxy.get(proxy)
+        if reader is not None:
+            self.leave(self.clock(), reader, why)
+
+    def status(self) -> dict:
+        return {**self.counts, "readers": len(self.readers), "subtrees": len(self.ledger.heads)}
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -97,6 +97,11 @@
         proxy = self.proxies.enter(now, name)
         if proxy is None:
             return None
+        older = self.fronts.get(proxy)
+        if older is not None:  # it came by another front: it must not be ordered by two
+            older.detach(proxy, "its name came again by another front")
+            self.leave(now, proxy)
+            proxy = self.proxies.enter(now, name)
         self.fronts[proxy], self.places[proxy] = front, (name, zone, rate)
         self.counts["joins"] += 1
         self.tell(now, api.Joined(rate, False, proxy, zone))
--- a/hollyridge/lab/checker.py
+++ b/hollyridge/lab/checker.py
@@ -12,7 +12,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from hollyridge.lab.record import frame_of
+from hollyridge.clone import codec as clone
+from hollyridge.clone.replica import Client
+from hollyridge.lab.record import frame_of, parts_of
 from hollyridge.sasp import codec
 from hollyridge.sasp.client import Held
 from hollyridge.steering.members import figure, read_label
@@ -56,6 +58,48 @@
     return f"{member.host}:{member.port}"
 
 
+class Seen(NamedTuple):
+    """`table` is the subtree where the protocol tells it; `version` the decision's number."""
+
+    at: int
+    proxy: str
+    group: str
+    table: str
+    version: int
+    lines: dict[str, float]
+
+
+class Listener:
+    """What one proxy of the pub-sub front holds, from what was recorded of its messages."""
+
+    def __init__(self, uid: str, names: list[str]) -> None:
+        self.client, self.stream = Client(uid, names), 0
+        self.joined_in = 0
+
+    def take(self, stream: int, parts: list[bytes]) -> tuple[bool, int, int, bool]:
+        """Whether it joined just now, lines that came whole, their version, whether its tables changed."""
+        if stream != self.stream:
+            self.stream = stream
+            for replica in self.client.replicas.values():
+                replica.begin()
+        try:
+            message = clone.decode(parts)
+            before = {subtree: replica.head.seq for subtree, replica in self.client.replicas.items()}
+            _, _, changed = self.client.take(message)
+        except clone.CloneError:
+            return False, 0, 0, False
+        subtree = getattr(message, "subtree", "") or clone.subtree_of(getattr(message, "key", ""))
+        replica, lines, version = self.client.replicas.get(subtree), 0, 0
+        if replica is not None and replica.head.seq != before.get(subtree, 0):
+            version = replica.head.version
+            lines = 1 + (replica.head.total if isinstance(message, clone.Kthxbai) else replica.head.count)
+        home = isinstance(message, clone.Kthxbai) and subtree == self.client.home
+        joined = home and self.joined_in != stream and self.client.replicas[subtree].synced
+        if joined:
+            self.joined_in = stream
+        return joined, lines, version, changed
+
+
 class Evidence:
     """Recordings sorted out: what each proxy held when, who was joined when, what the assigner was told when."""
 
@@ -67,6 +111,7 @@
         self.messages: dict[str, list[tuple[int, int, int]]] = defaultdict(list)  # (time, number, lines)
         self.starts = [row["t"] for row in self.rows if row["k"] == "assigner" and row["up"]]
         self.zone: dict[str, str] = {}
+        self.tables: list[Seen] = []  # every table that a proxy held, when it began to
         self.end = self.rows[-1]["t"] if self.rows else 0
         self.read()
 
@@ -75,10 +120,14 @@
         held: dict[str, Held] = defaultdict(Held)
         held_at: dict[str, int] = {}
         groups: dict[str, list[str]] = {}
+        clones: dict[str, Listener] = {}
         for row in self.rows:
             kind = row["k"]
             if kind == "standing":
                 self.zone[row["proxy"]], groups[row["proxy"]] = row["zone"], row["groups"]
+                if row["front"] == "clone":
+                    groups[row["proxy"]] = row["names"]
+                    clones[row["proxy"]] = Listener(row["proxy"], row["names"])
             elif kind == "said":
                 number, message = codec.decode(frame_of(row))
                 asked[row["who"], row["stream"], number] = row["t"], message
@@ -90,6 +139,8 @@
                     gaps = self.empty.get((row["who"], group))
                     if gaps and gaps[-1][1] < 0:
                         gaps[-1][1] = row["t"]
+            elif kind == "told":
+                self.subscribed(row, clones, groups)
             elif kind == "heard":
                 number, message = codec.decode(frame_of(row))
                 if row["who"] == "agent":
@@ -107,17 +158,38 @@
                     held[who].take(message.groups, isinstance(message, codec.GetWeightsReply))
                     lines = sum(len(g.weights) for g in message.groups)
                     self.messages[who].append((row["t"], number, lines))
+                    for group, _ in message.groups:
+                        self.tables.append(Seen(row["t"], who, group.name, "", number, {
+                            name_of(m): float(e.weight) for m, e in held[who].lines(group.name).items()}))
                     for group in held[who].fresh:
-                        gaps = self.empty[who, group]
-                        bare = not held[who].lines(group)
-                        if bare and (not gaps or gaps[-1][1] >= 0):
-                            gaps.append([row["t"], -1])
-                        elif not bare and gaps and gaps[-1][1] < 0:
-                            gaps[-1][1] = row["t"]
+                        self.gap(who, group, not held[who].lines(group), row["t"])
         for spans in (*self.joined.values(), *self.empty.values()):
             for span in spans:
                 span[1] = span[1] if span[1] >= 0 else self.end
 
+    def gap(self, who: str, group: str, bare: bool, at: int) -> None:
+        gaps = self.empty[who, group]
+        if bare and (not gaps or gaps[-1][1] >= 0):
+            gaps.append([at, -1])
+        elif not bare and gaps and gaps[-1][1] < 0:
+            gaps[-1][1] = at
+
+    def subscribed(self, row: dict, clones: dict, groups: dict[str, list[str]]) -> None:
+        """A message of the pub-sub front, read with the client library's own rules of what is whole."""
+        who = row["who"]
+        listener = clones[who]
+        joined, lines, version, changed = listener.take(row["stream"], parts_of(row))
+        if joined:
+            self.joined[who].append([row["t"], -1])
+        if lines:
+            self.messages[who].append((row["t"], version, lines))
+        if changed:
+            tables = listener.client.tables
+            for method, some in tables.lines.items():
+                self.tables.append(Seen(row["t"], who, method, listener.client.wanted().get(method, "?"),
+                                        tables.versions[method], some))
+                self.gap(who, method, not some, row["t"])
+
     def learn(self, at: int, message: codec.Message) -> None:
         if isinstance(message, codec.Register):
             for _, members in message.groups:
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -21,6 +21,7 @@
 from hollyridge.lab.agent import Agent
 from hollyridge.lab.checker import Figures, Verdict, check
 from hollyridge.lab.figures import figures_of
+from hollyridge.lab.parity import compare
 from hollyridge.lab.record import Recorder, now_us, read_all
 from hollyridge.lab.script import Script, TroubleSection
 
@@ -33,6 +34,7 @@
     verdicts: list[Verdict]
     figures: dict
     troubles: list[dict]
+    parity: tuple[int, int, str] = (0, 0, "")
 
 
 class Unit:
@@ -75,6 +77,25 @@
             self.process.wait()
 
 
+def free_ports(count: int) -> int:
+    """The first of so many free ports in a row."""
+    for _ in range(100):
+        first = free_port()
+        probes = []
+        try:
+            for at in range(count):
+                probe = socket.socket()
+                probes.append(probe)
+                probe.bind(("127.0.0.1", first + at))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+    raise DayError("no free ports in a row")
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -85,7 +106,7 @@
     """`policy` names another decision module of the laboratory; `tick(part)` is told how far the day is."""
 
     def __init__(self, script: Script, folder: Path, policy: str = "", seed: int | None = None,
-                 tick: Callable[[float], None] = lambda part: None) -> None:
+                 tick: Callable[[float], None] = lambda part: None, fronts: tuple[str, ...] = ("sasp",)) -> None:
         self.script, self.folder, self.policy, self.tick = script, folder, policy, tick
         self.terms = script.terms
         self.rng = Random(script.day.seed if seed is None else seed)
@@ -95,7 +116,8 @@
         self.proxies: dict[str, int] = {}  # uid: zone
         self.proxy_terms: dict[str, dict] = {}
         self.started: dict[str, AsyncResult] = {}
-        self.ports = free_port(), free_port()
+        self.fronts = fronts
+        self.ports = free_port(), free_port(), free_ports(3)
         self.assigner = None
         self.assigner_starts = 0
         self.runs = 0
@@ -115,10 +137,12 @@
     def settings_file(self) -> Path:
         parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
         parser.read(self.script.path.parent / self.script.day.settings)
+        clone = f"127.0.0.1:{self.ports[2]}" if "clone" in self.fronts else ""
         changes = [(*place, value) for place, value in self.script.overrides.items()]
         for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
                                     ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
-                                    ("log", "format", "json"), ("log", "status_every_s", "5")):
+                                    ("clone", "listen", clone), ("log", "format", "json"),
+                                    ("log", "status_every_s", "5")):
             if not parser.has_section(section):
                 parser.add_section(section)
             parser.set(section, key, value)
@@ -208,7 +232,8 @@
             self.proxies[uid] = zone
             self.proxy_terms[uid] = dict(
                 uid=uid, host=self.address(zone, 0x8000 + k), zone=self.zones[zone],
-                rate=self.script.load.rpcs_per_s * weight / sum(weights), plan=self.plan(), standing=standing,
+                rate=self.script.load.rpcs_per_s * weight / sum(weights), standing=standing,
+                plan=self.plan(self.fronts[k // names % len(self.fronts)]),
                 seed=self.rng.randrange(1 << 30))
             self.proxy_houses[zone].do("proxy", **self.proxy_terms[uid])
 
@@ -219,12 +244,13 @@
         self.run_task(unit, cold)
         return unit
 
-    def plan(self) -> dict:
+    def plan(self, front: str) -> dict:
         load, terms = self.script.load, self.terms
         methods = [dict(name=name, group=m.group or name, repeats=m.repeats, share=load.shares[k],
                         work_us=load.work_ms[k] * 1e3, deadline_us=m.deadline_ms * 1e3)
                    for k, (name, m) in enumerate(terms.methods.items())]
-        return dict(methods=methods, sasp=["127.0.0.1", self.ports[0]], otlp=["127.0.0.1", self.ports[1]],
+        return dict(methods=methods, front=front, sasp=["127.0.0.1", self.ports[0]],
+                    clone=["127.0.0.1", self.ports[2]], otlp=["127.0.0.1", self.ports[1]],
                     pick=terms.proxies.pick, outlier_after=terms.proxies.outlier_after, apply_us=40,
                     client_retries=load.client_retries, reckless=load.reckless, try_share=load.try_share,
                     period_us=terms.assigner.report_period_s * 1e6)
@@ -386,7 +412,8 @@
         rows = read_all(self.folder)
         for row in self.troubles:
             row["begun"], row["ended"] = ((row[key] - begun) / 1e6 for key in ("begun", "ended"))
-        return Outcome(check(rows, self.figures()), figures_of(rows, self.methods()), self.troubles)
+        compared = compare(rows) if len(self.fronts) > 1 else (0, 0, "")
+        return Outcome(check(rows, self.figures()), figures_of(rows, self.methods()), self.troubles, compared)
 
     def end(self) -> None:
         for house in [*getattr(self, "proxy_houses", []), *getattr(self, "task_houses", [])]:
--- a/hollyridge/lab/house.py
+++ b/hollyridge/lab/house.py
@@ -66,12 +66,7 @@
     def do_break(self, name: str) -> None:
         for proxy in self.proxies.values():
             if name in ("", proxy.uid):
-                client = proxy.client
-                if client is not None:
-                    try:
-                        client.sock.shutdown(2)
-                    except OSError:
-                        pass
+                proxy.hang_up()
 
 
 def main() -> None:
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -5,57 +5,16 @@
 import http.client
 import time
 from collections import defaultdict
-from functools import partial
 from random import Random
 
 import gevent
+import zmq.green as zmq
 from gevent.event import AsyncResult
-from tenacity import RetryCallState, wait_random_exponential
 
+from hollyridge.client import CloneGateway, Gateway, SaspGateway
 from hollyridge.lab import rpc
 from hollyridge.lab.record import Recorder
 from hollyridge.otlp.sender import Figure, post, request_of
-from hollyridge.sasp.client import Balancer, Held, LostError, RefusedError
-from hollyridge.sasp.codec import Member
-
-
-class Lines:
-    """One table to pick from: of two drawn by weight the one with less out, by rotation, or by weight alone."""
-
-    def __init__(self, pick: str, rng: Random) -> None:
-        self.pick, self.random = pick, rng.random
-        self.table: dict[str, float] = {}
-        self.credit: dict[str, float] = {}
-
-    def set(self, table: dict[str, float]) -> None:
-        self.table = table
-        self.credit = {task: self.credit.get(task, 0.0) for task in table}
-
-    def draw(self, among: list[str]) -> str:
-        point = self.random() * sum(self.table[task] for task in among)
-        for task in among:
-            point -= self.table[task]
-            if point < 0:
-                return task
-        return among[-1]
-
-    def choose(self, out: dict[str, int], avoid: set[str]) -> str | None:
-        """A task, not one to be avoided while another is left; None without lines."""
-        among = [task for task in self.table if task not in avoid] or list(self.table)
-        if not among:
-            return None
-        if self.pick == "rotate":
-            whole = sum(self.table[task] for task in among)
-            for task in among:
-                self.credit[task] += self.table[task] / whole
-            best = max(among, key=self.credit.__getitem__)
-            self.credit[best] -= 1
-            return best
-        first = self.draw(among)
-        if self.pick == "random":
-            return first
-        second = self.draw(among)
-        return second if out[second] < out[first] else first
 
 
 class Pipe:
@@ -133,11 +92,11 @@
         self.rng = Random(seed)
         self.methods = plan["methods"]
         self.groups = list(dict.fromkeys(m["group"] for m in self.methods))
-        self.lines = {group: Lines(plan["pick"], self.rng) for group in self.groups}
-        for lines in self.lines.values():
-            lines.set(dict.fromkeys(standing, 1.0))
-        record("standing", proxy=uid, zone=zone, tasks=standing, groups=self.groups)
-        self.held, self.pipes = Held(), {}
+        self.names = [m["name"] for m in self.methods]
+        record("standing", proxy=uid, zone=zone, tasks=standing, groups=self.groups, names=self.names,
+               front=plan["front"])
+        self.stream, self.deaf, self.pipes = 0, False, {}
+        self.gateway = self.open(plan["front"], standing)
         self.out: dict[str, int] = defaultdict(int)
         self.failed: dict[str, int] = defaultdict(int)
         self.avoid_until: dict[str, float] = {}
@@ -149,65 +108,43 @@
         self.late = 0.0
         self.cut: set[str] = set()
         self.factor = 1.0
-        self.client: Balancer | None = None
-        self.stream = 0
-        self.deaf = False
-        self.jobs = [gevent.spawn(job) for job in (self.listen, self.live, self.report)]
+        self.gateway.on_change(self.tidy)
+        self.gateway.watch = self.watch
+        self.jobs = [gevent.spawn(job) for job in (self.gateway.run, self.live, self.report)]
 
     # Orders.
 
-    def listen(self) -> None:
-        wait, attempt = wait_random_exponential(multiplier=0.1, max=1.5), 0
-        while not self.down:
-            self.stream += 1
-            try:
-                self.held.new_stream()
-                client = self.client = Balancer(
-                    tuple(self.plan["sasp"]), self.uid, source=self.host,
-                    heard=partial(self.record.frame, "heard", self.uid, self.stream),
-                    said=partial(self.record.frame, "said", self.uid, self.stream))
-                self.record("stream", who=self.uid, stream=self.stream, up=True)
-                client.start(self.groups)
-                attempt = 0
-                while not self.down:
-                    while self.deaf:
-                        gevent.sleep(0.05)
-                    pushed = client.receive()
-                    if pushed:
-                        self.obey(pushed[1].groups)
-            except (OSError, LostError, RefusedError):
-                pass
-            self.record("stream", who=self.uid, stream=self.stream, up=False)
-            self.hang_up()
-            attempt += 1
-            state = RetryCallState(None, None, (), {})
-            state.attempt_number = min(attempt, 10)
-            gevent.sleep(0.02 + wait(state))
+    def open(self, front: str, standing: list[str]) -> Gateway:
+        terms = dict(standing=dict.fromkeys(standing, 1.0), pick=self.plan["pick"], rng=self.rng,
+                     sleep=gevent.sleep)
+        if front == "sasp":
+            how = dict(source=self.host, heard=lambda raw: self.record.frame("heard", self.uid, self.stream, raw),
+                       said=lambda raw: self.record.frame("said", self.uid, self.stream, raw))
+            return SaspGateway(tuple(self.plan["sasp"]), self.uid, self.names,
+                               {m["name"]: m["group"] for m in self.methods}, how, receive_s=0.5,
+                               before=lambda groups: self.apply(sum(len(g.weights) for g in groups)), **terms)
+        how = dict(source=self.host, zmq=zmq,
+                   heard=lambda parts: self.record.parts("told", self.uid, self.stream, parts))
+        return CloneGateway(tuple(self.plan["clone"]), self.uid, self.names, how, before=self.apply, **terms)
+
+    def watch(self, begins: bool) -> None:
+        self.stream += begins
+        self.record("stream", who=self.uid, stream=self.stream, up=begins, why=self.gateway.trouble)
+
+    def apply(self, lines: int) -> None:
+        """Applying takes time; one that is deaf reads no further."""
+        gevent.sleep(self.plan["apply_us"] * lines / 1e6)
+        while self.deaf:
+            gevent.sleep(0.05)
 
     def hang_up(self) -> None:
-        client, self.client = self.client, None
-        if client is not None:
-            try:
-                client.sock.shutdown(2)
-            except OSError:
-                pass
-            client.close()
+        self.gateway.hang_up()
 
-    def obey(self, groups) -> None:
-        gevent.sleep(self.plan["apply_us"] * sum(len(g.weights) for g in groups) / 1e6)
-        self.held.take(groups)
-        for name in {g.group.name for g in groups}:
-            if name in self.held.fresh:
-                table = {self.key(m): float(e.weight) for m, e in self.held.lines(name).items()}
-                self.lines[name].set(table)
-        used = {task for lines in self.lines.values() for task in lines.table}
+    def tidy(self, gateway: Gateway) -> None:
+        used = {task for lines in gateway.tables.values() for task in lines}
         for task in [t for t in self.pipes if t not in used and not self.out[t]]:
             self.pipes.pop(task).close()
 
-    @staticmethod
-    def key(member: Member) -> str:
-        return f"{member.host}:{member.port}"
-
     # Work.
 
     def live(self) -> None:
@@ -228,7 +165,13 @@
         outcome, tries = rpc.NOT_SENT, 0
         while True:
             self.rpcs[method][0] += 1
-            outcome = self.send(method, token, work, deadline)
+            level, retry = self.gateway.level_for(terms["name"])
+            outcome = rpc.PUSHED_BACK if self.rng.random() >= level else self.send(method, token, work, deadline)
+            for again in range((0, 1, 1, 2)[retry]):  # as the assigner orders
+                if outcome not in (rpc.PUSHED_BACK, rpc.NOT_SENT) and (retry == 1 or outcome == rpc.OK):
+                    break
+                if level and time.monotonic() + 0.05 < deadline and again < 2:
+                    outcome = self.send(method, token, work, deadline)
             if outcome not in (rpc.OK, rpc.PUSHED_BACK, rpc.NOT_SENT):
                 self.rpcs[method][1] += 1
             tries += 1
@@ -243,10 +186,9 @@
         self.record("done", proxy=self.uid, method=method, ok=outcome == rpc.OK, took=took, tries=tries)
 
     def send(self, method: int, token: str, work: float, deadline: float) -> int:
-        lines = self.lines[self.methods[method]["group"]]
         now = time.monotonic()
         avoid = {task for task, until in self.avoid_until.items() if until > now}
-        task = lines.choose(self.out, avoid)
+        task = self.gateway.pick(self.names[method], self.out.__getitem__, avoid)
         if task is None:
             self.record("no_line", proxy=self.uid, method=method)
             return rpc.NOT_SENT
@@ -328,7 +270,7 @@
 
     def stop(self) -> None:
         self.down = True
-        self.hang_up()
+        self.gateway.stop()
         gevent.killall(self.jobs, block=False)
         for pipe in self.pipes.values():
             pipe.close()
--- a/hollyridge/lab/record.py
+++ b/hollyridge/lab/record.py
@@ -30,6 +30,9 @@
     def frame(self, kind: str, who: str, stream: int, raw: bytes) -> None:
         self(kind, who=who, stream=stream, frame=base64.b64encode(raw).decode())
 
+    def parts(self, kind: str, who: str, stream: int, parts: list[bytes]) -> None:
+        self(kind, who=who, stream=stream, parts=[base64.b64encode(part).decode() for part in parts])
+
     def flush(self) -> None:
         self.file.flush()
         self.flushed = now_us()
@@ -51,3 +54,7 @@
 
 def frame_of(row: dict) -> bytes:
     return base64.b64decode(row["frame"])
+
+
+def parts_of(row: dict) -> list[bytes]:
+    return [base64.b64decode(part) for part in row["parts"]]
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 import gevent
+import zmq.green as zmq
 
+from hollyridge.clone.front import CloneFront
 from hollyridge.core.loop import Loop, monotonic_us
 from hollyridge.core.machine import Machine
 from hollyridge.otlp.intake import Intake
@@ -33,8 +35,16 @@
                             channel.messages_most / channel.messages_over_s)
         presence = Presence(boot.drain_grace, boot.bare)
         self.front = SaspFront(self.loop, terms.sasp_terms(), presence, keeper, terms.zone_finder(), log)
+        self.clone = None
+        if terms.clone.listen:
+            self.clone = CloneFront(self.loop, terms.clone_terms(), Presence(boot.drain_grace, boot.bare), keeper,
+                                    terms.zone_finder(), self.task_name, log, zmq.Context())
         self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), self.status, log)
 
+    def task_name(self, task: int) -> str:
+        address, port, _ = self.machine.tasks.names[task]
+        return f"{Member(address, port).host}:{port}"
+
     def names(self) -> Names:
         zones = {name: z for z, name in enumerate(self.terms.zone_names)}
         methods = {name: k for k, name in enumerate(self.terms.method_names)}
@@ -56,6 +66,8 @@
     def start(self) -> tuple[int, int]:
         """The ports that SASP and OTLP listen on."""
         ports = self.front.start(), self.intake.start()
+        if self.clone is not None:
+            self.clone.start()
         if self.terms.log.status_every_s:
             gevent.spawn(self.tell_status)
         return ports
@@ -66,10 +78,13 @@
     def stop(self) -> None:
         self.loop.stop()
         self.front.stop()
+        if self.clone is not None:
+            self.clone.stop()
         self.intake.stop()
 
     def status(self) -> dict:
-        return {"core": self.machine.status(), "sasp": self.front.status(), "otlp": self.intake.status()}
+        fronts = {"sasp": self.front.status(), **({"clone": self.clone.status()} if self.clone else {})}
+        return {"core": self.machine.status(), **fronts, "otlp": self.intake.status()}
 
     def tell_status(self) -> None:
         while True:
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -10,6 +10,7 @@
 from pydantic import Field, PositiveFloat, PositiveInt, field_validator
 
 from hollyridge import interface as api
+from hollyridge.clone.front import CloneTerms
 from hollyridge.core.machine import Limits
 from hollyridge.otlp.intake import OtlpTerms
 from hollyridge.sasp.front import SaspTerms
@@ -111,6 +112,21 @@
         return value
 
 
+class CloneSection(Section):
+    """The pub-sub front; `listen` is the first of three ports, empty for none."""
+
+    listen: str = ""
+    waiting_most: Annotated[int, Field(ge=100, le=1_000_000)] = 5000
+    beat_ms: Annotated[int, Field(ge=50, le=10000)] = 500
+
+    @field_validator("listen")
+    @classmethod
+    def listens(cls, value: str) -> str:
+        if value and split(value)[1] > 65533:
+            raise ValueError("three ports are needed from here on")
+        return value
+
+
 class RosterSection(Section):
     """How long members are held whose stream broke, and how long a start waits for the list to settle."""
 
@@ -127,8 +143,8 @@
 
 
 SECTIONS = {"assigner": AssignerSection, "channel": ChannelSection, "promises": PromisesSection,
-            "proxies": ProxiesSection, "sasp": SaspSection, "otlp": OtlpSection, "roster": RosterSection,
-            "log": LogSection}
+            "proxies": ProxiesSection, "sasp": SaspSection, "clone": CloneSection, "otlp": OtlpSection,
+            "roster": RosterSection, "log": LogSection}
 REPEATS = {"idempotent": api.Repeat.IDEMPOTENT, "tokened": api.Repeat.TOKENED,
            "non-idempotent": api.Repeat.NON_IDEMPOTENT}
 DROPPED_BY = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
@@ -176,7 +192,8 @@
 
     def bootstrap(self) -> api.Bootstrap:
         """What the module reads. A line of a table goes to a proxy once a group, so the module is told of a
-        channel that is so many times narrower. No front carries levels or ways to try again yet."""
+        channel that is so many times narrower. Levels and ways to try again travel where the pub-sub front is on;
+        SASP refuses them."""
         copies, channel, promises, proxies = len(self.groups()), self.channel, self.promises, self.proxies
         methods = tuple(
             api.MethodTerms(
@@ -195,7 +212,8 @@
             warm_up=micros(promises.warm_up_s), fall=micros(promises.fall_s),
             fall_multiple=promises.fall_multiple, pick=PICKS[proxies.pick],
             outlier_after=proxies.outlier_after, initial_set=proxies.first_table,
-            admission=api.Admission.SILENT, retry_default=0, per_try=1.0, partitions=0, one_owner=False,
+            admission=api.Admission.FRACTION if self.clone.listen else api.Admission.SILENT,
+            retry_default=0, per_try=1.0, partitions=0, one_owner=False,
             load_names=("util", "queue"), cross_zone_price=proxies.cross_zone_price)
 
     def limits(self) -> Limits:
@@ -212,6 +230,10 @@
                          s.message_most_bytes, s.send_buffer_bytes, s.frame_s, s.hello_s, s.members_each,
                          self.proxies.usual_rate)
 
+    def clone_terms(self) -> CloneTerms:
+        return CloneTerms(*split(self.clone.listen), self.clone.waiting_most, self.clone.beat_ms, self.proxies.most,
+                          self.proxies.usual_rate, tuple(self.method_names))
+
     def otlp_terms(self) -> OtlpTerms:
         o = self.otlp
         return OtlpTerms(*split(o.listen), o.body_most_bytes, o.body_s, o.connections_most, o.points_per_s)
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -45,3 +46,17 @@
     found = {row["rule"] for row in told["rules"] if not row["kept"]}
     assert broken in found if broken else not found
     assert told["rpcs"] > 100 and told["messages"] > 0
+
+
+def test_a_day_that_is_ended_takes_its_processes_with_it(tmp_path):
+    words = [sys.executable, "-m", "hollyridge.cli.main", "day", str(SMALL), "--report", str(tmp_path)]
+    process = subprocess.Popen(words, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
+    for _ in range(100):
+        if (tmp_path / "day.jsonl").exists() and (tmp_path / "assigner-1.log").exists():
+            break
+        time.sleep(0.1)
+    time.sleep(3)
+    process.terminate()
+    assert process.wait(timeout=20) == 2 and b"ended by a signal" in process.stderr.read()
+    lines = [path.read_bytes() for path in Path("/proc").glob("[0-9]*/cmdline") if path.exists()]
+    assert not [line for line in lines if str(tmp_path).encode() in line]
