--- a/hollyridge/clone/codec.py
+++ b/hollyridge/clone/codec.py
@@ -73,7 +73,7 @@
 Message = Union[Icanhaz, Kvsync, Kthxbai, Kvpub, Kvset, Hugz]
 
 
-class Head(msgspec.Struct, omit_defaults=True):
+class Head(msgspec.Struct):
     """The value of a subtree's head: `count` messages since `prev`, `total` keys in all; `beat`: ms between
     heartbeats."""
 
--- a/hollyridge/clone/front.py
+++ b/hollyridge/clone/front.py
@@ -42,7 +42,8 @@
 class Reader:
     """One joined proxy."""
 
-    __slots__ = ("uid", "number", "identity", "proxy", "home", "seqs", "marks", "asks", "credit", "waits_for_home")
+    __slots__ = ("uid", "number", "identity", "proxy", "home", "seqs", "marks", "asks", "credit", "waits_for_home",
+                 "owed")
 
     def __init__(self, uid: str, number: int, identity: bytes, asks: Bucket) -> None:
         self.uid, self.number, self.identity, self.asks = uid, number, identity, asks
@@ -51,6 +52,7 @@
         self.marks: deque[tuple[dict[str, int], int, int]] = deque()
         self.credit: set[str] = set()  # tables whose first snapshot the channel has counted already
         self.waits_for_home = True
+        self.owed: dict[str, None] = {}  # snapshots on their way, the first of them now
 
 
 class CloneFront:
@@ -72,7 +74,7 @@
         self.published: dict[int, Table] = {}
         self.number = 0
         self.counts = dict.fromkeys(("asked", "snapshots", "published", "bytes_out", "bad", "refused", "cut",
-                                     "acks", "pub_full", "home_dropped"), 0)
+                                     "acks", "waited", "unreachable"), 0)
         self.sockets = {}
         for name, kind in (("snapshot", zmq.ROUTER), ("publisher", zmq.PUB), ("collector", zmq.PULL)):
             sock = self.sockets[name] = context.socket(kind)
@@ -263,14 +265,36 @@
             sock.send_multipart(parts)  # never blocks: a full reader loses it, sees the gap, and asks
 
     def send(self, reader: Reader, subtree: str) -> None:
-        self.counts["snapshots"] += 1
-        try:
+        """Answer with a snapshot, after those that this reader still waits for."""
+        if subtree not in reader.owed:
+            reader.owed[subtree] = None
+            if len(reader.owed) == 1:
+                gevent.spawn(self.deliver, reader)
+
+    def deliver(self, reader: Reader) -> None:
+        """One after the other, as fast as the reader takes them; a full pipe holds up nobody else."""
+        while reader.owed and self.readers.get(reader.uid) is reader:
+            subtree = next(iter(reader.owed))
+            self.counts["snapshots"] += 1
             for message in self.ledger.snapshot(subtree):
                 parts = codec.encode(message)
-                self.counts["bytes_out"] += sum(map(len, parts))
-                self.sockets["snapshot"].send_multipart([reader.identity, *parts], flags=zmq.NOBLOCK)
-        except zmq.ZMQError:  # gone, or full: it will ask again, or be overdue
-            self.counts["pub_full"] += 1
+                while not self.pass_on(reader, parts):
+                    self.counts["waited"] += 1
+                    gevent.sleep(0.01)
+                    if self.readers.get(reader.uid) is not reader:
+                        return
+            del reader.owed[subtree]
+
+    def pass_on(self, reader: Reader, parts: list[bytes]) -> bool:
+        try:
+            self.sockets["snapshot"].send_multipart([reader.identity, *parts], flags=zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        except zmq.ZMQError:  # its connection is gone: it will say hello again, or be overdue
+            self.counts["unreachable"] += 1
+            return True
+        self.counts["bytes_out"] += sum(map(len, parts))
+        return True
 
     def lines(self, proxy: int, parcel: Parcel) -> tuple[int, int]:
         tables = set(self.machine.desk.bound.get(proxy, {}).values())
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -116,7 +116,7 @@
     """The pub-sub front; `listen` is the first of three ports, empty for none."""
 
     listen: str = ""
-    waiting_most: Annotated[int, Field(ge=100, le=1_000_000)] = 5000
+    waiting_most: Annotated[int, Field(ge=100, le=1_000_000)] = 20000
     beat_ms: Annotated[int, Field(ge=50, le=10000)] = 500
 
     @field_validator("listen")
@@ -315,5 +315,7 @@
         faults.append("[channel] most_waiting: less than four messages of one line")
     if promises.warm_up_s < promises.fall_s:
         faults.append("[promises] warm_up_s: under fall_s")
+    if terms.clone.listen and terms.clone.waiting_most <= terms.proxies.tasks_most:
+        faults.append("[clone] waiting_most: not above [proxies] tasks_most; a whole table could never wait")
     if split(terms.sasp.listen)[1] and terms.sasp.listen == terms.otlp.listen:
         faults.append("[otlp] listen: the same as [sasp] listen")
--- a/hollyridge/steering/news.py
+++ b/hollyridge/steering/news.py
@@ -14,6 +14,7 @@
 from hollyridge.interface import Event, OfferedLoad, TrafficReport
 
 SPANS = 32  # separate stretches of time remembered by series; before the oldest is too old to tell
+LATE = 60_000_000_000  # ns behind a source's newest period, before which no period of it counts
 LONGEST = 600_000_000_000  # ns
 SECOND = 1_000_000_000
 
@@ -68,6 +69,7 @@
         self.spans: dict[tuple, list[tuple[int, int]]] = {}
         self.used: dict[tuple, int] = {}
         self.sizes: dict[str, int] = {}
+        self.newest: dict[str, tuple[int, int]] = {}  # source: newest end on its clock, and when that was told
         self.sums: dict[tuple, dict[tuple, Sum]] = {}  # (kind, place): by (source, method)
         self.loads: dict[int, dict[Kind, float]] = {}
         self.swept = 0
@@ -121,8 +123,10 @@
                 return False
             spans[:] = [(start, end)]
         else:
-            if len(spans) >= SPANS and end <= spans[0][0]:
+            floor = self.floor(now, point.source, end)
+            if end <= floor or len(spans) >= SPANS and end <= spans[0][0]:
                 return False
+            spans[:] = [span for span in spans if span[1] > floor]
             if any(start < b and a < end for a, b in spans):
                 return False
             before = next((at for at, (_, b) in enumerate(spans) if b == start), -1)
@@ -136,6 +140,15 @@
         self.used[key] = now
         return True
 
+    def floor(self, now: int, source: str, end: int) -> int:
+        """Before this moment of a source's own clock its periods are too old to be told apart. A clock that was set
+        back would shut its reports out: where it has not moved on for long, it is believed anew."""
+        newest, at = self.newest.get(source, (end, now))
+        if end >= newest or now - at > self.forget:
+            newest, at = end, now
+            self.newest[source] = newest, at
+        return newest - LATE
+
     def sweep(self, now: int) -> None:
         """Forget series long unused; at most once a quarter of that time, however full it is."""
         if now - self.swept < self.forget // 4 and self.swept:
@@ -146,6 +159,7 @@
             self.sizes[key[0]] -= 1
             if not self.sizes[key[0]]:
                 del self.sizes[key[0]]
+                self.newest.pop(key[0], None)
 
     def rate(self, kind: Kind, place: tuple[int, int]) -> tuple[float, float]:
         """What was summed at a place, and how much of it a microsecond."""
