--- a/hollyridge/clone/client.py
+++ b/hollyridge/clone/client.py
@@ -72,11 +72,11 @@
         """Take what comes within `timeout` seconds, at the least one look; the tables if they changed."""
         until, changed = time.monotonic() + timeout, False
         while True:
-            left = max(0.0, min(until, self.said_at + self.beat_s / 2) - time.monotonic())
+            left = max(0.0, min(until, self.said_at + self.beat_s) - time.monotonic())
             for sock, _ in self.poller.poll(left * 1000):
                 changed = self.take(sock.recv_multipart()) or changed
             now = time.monotonic()
-            if changed or now >= self.said_at + self.beat_s / 2:
+            if changed or now >= self.said_at + self.beat_s:
                 self.ack()
             for subtree, at in list(self.asked.items()):  # an answer that never comes must not end the asking
                 replica = self.client.replicas.get(subtree)
