Withdrawals travel by pub-sub; Reporter says back what a proxy met; the stand-ins use it

Change: /out/all/ subtree; client/reporting.py sums by period and repeats a report after a time-out.

--- a/hollyridge/clone/codec.py
+++ b/hollyridge/clone/codec.py
@@ -10,6 +10,7 @@
 | `/table/N/line/HOST:PORT` | `w` | a line and its weight |
 | `/table/N/level/MASK` | `amount`, `retry` | what part of the methods in the mask is let in, how tries go on |
 | `.../head` | `epoch`, `version`, `seq`, `prev`, `count`, `total`, `beat` | ends what belongs together |
+| `/out/all/HOST:PORT` | `out` | a task that nobody may send to, whatever the tables say |
 | `/range/...` | | kept free for key ranges |
 
 A change is the messages between two heads of its subtree: `count` of them came after the head `prev`. A head said
@@ -25,6 +26,7 @@
 
 PORT = 5556  # of the snapshot socket; the RFC names none
 LAYOUT = 1
+OUT = "/out/all/"  # the subtree of withdrawals
 PARTS_MOST, PART_MOST = 5, 4096  # of one message
 _SEQUENCE = struct.Struct(">Q")
 NO_SEQUENCE = _SEQUENCE.pack(0)
@@ -103,6 +105,11 @@
     v: int = LAYOUT
 
 
+class Out(msgspec.Struct):
+    out: bool = True
+    v: int = LAYOUT
+
+
 class Ack(msgspec.Struct):
     """A proxy's word: the newest head it has applied, by subtree."""
 
--- a/hollyridge/clone/front.py
+++ b/hollyridge/clone/front.py
@@ -71,8 +71,9 @@
         self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
         self.terms, self.presence, self.keeper = terms, presence, keeper
         self.zone_of, self.name_of, self.log, self.access, self.curve = zone_of, name_of, log, access, curve
-        self.abilities = Abilities(levels=True, further_tries=True, withdrawals=False, receipts=True, groups=1)
+        self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
         self.ledger = Ledger(os.urandom(8).hex(), terms.beat_ms)
+        self.ledger.set(codec.OUT, 0, {})
         self.readers: dict[str, Reader] = {}
         self.by_proxy: dict[int, Reader] = {}
         self.by_number: dict[int, Reader] = {}
@@ -163,13 +164,13 @@
     def asked(self, identity: bytes, subtree: str, address: str, user: str) -> None:
         self.counts["asked"] += 1
         now, steps = self.clock(), subtree.split("/")
-        if len(steps) != 4 or steps[0] or steps[3] or steps[1] not in ("proxy", "table"):
+        if len(steps) != 4 or steps[0] or steps[3] or steps[1] not in ("proxy", "table", "out"):
             raise CloneError("no such subtree")
         if steps[1] == "proxy":
             self.hello(now, identity, steps[2], address, user)
             return
         reader = next((r for r in self.by_number.values() if r.identity == identity), None)
-        if reader is None or subtree not in self.wanted(reader):
+        if reader is None or subtree != codec.OUT and subtree not in self.wanted(reader):
             self.counts["refused"] += 1
             return
         if subtree in reader.credit:
@@ -281,7 +282,7 @@
 
     def heads_of(self, reader: Reader) -> dict[str, int]:
         """The newest head of each subtree that it uses."""
-        subtrees = [reader.home, *self.wanted(reader)]
+        subtrees = [reader.home, codec.OUT, *self.wanted(reader)]
         return {one: self.ledger.heads[one].seq for one in subtrees if one in self.ledger.heads}
 
     # What goes out.
@@ -333,6 +334,10 @@
 
     def write(self, proxy: int, parcel: Parcel) -> None:
         reader = self.by_proxy.get(proxy)
+        if parcel.out:
+            out = sorted(self.machine.desk.out)
+            self.publish(self.ledger.set(codec.OUT, parcel.number, {
+                codec.OUT + self.name_of(task): codec.json(codec.Out()) for task in out}))
         for table, value in parcel.tables:
             self.say(table, value)
         if reader is None:
--- a/hollyridge/clone/replica.py
+++ b/hollyridge/clone/replica.py
@@ -140,7 +140,7 @@
 
     def __init__(self, uid: str, methods: list[str]) -> None:
         self.home, self.methods = f"/proxy/{uid}/", methods
-        self.replicas = {self.home: Replica(self.home)}
+        self.replicas = {self.home: Replica(self.home), codec.OUT: Replica(codec.OUT)}
         self.tables = Tables({}, {}, {})
         self.applied = 0
 
@@ -162,7 +162,7 @@
         ask = [subtree] if did.ask else []
         drop: list[str] = []
         if subtree == self.home and (did.applied or did.beat and type(message) is Kthxbai):
-            for table in dict.fromkeys(self.wanted().values()):
+            for table in dict.fromkeys((codec.OUT, *self.wanted().values())):
                 if table not in self.replicas or self.replicas[table].asking and type(message) is Kthxbai:
                     self.replicas.setdefault(table, Replica(table))
                     ask.append(table)
@@ -170,7 +170,7 @@
             self.replicas[one].begin()
         changed = did.applied and self.lay()
         if changed:
-            used = {self.home, *self.wanted().values()}
+            used = {self.home, codec.OUT, *self.wanted().values()}
             drop = [one for one in self.replicas if one not in used]
             for one in drop:
                 del self.replicas[one]
@@ -181,7 +181,9 @@
         wanted = self.wanted()
         if not wanted or not all(self.replicas[table].synced for table in wanted.values()):
             return False
-        lines = {table: lines_of(self.replicas[table]) for table in set(wanted.values())}
+        out = {key[len(codec.OUT):] for key in self.replicas[codec.OUT].held}
+        lines = {table: {task: weight for task, weight in lines_of(self.replicas[table]).items() if task not in out}
+                 for table in set(wanted.values())}
         self.tables = Tables(
             {method: lines[table] for method, table in wanted.items()},
             {method: level_of(self.replicas[table], k) for k, method in enumerate(self.methods)
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import time
 from collections import defaultdict
 from random import Random
@@ -11,10 +10,10 @@
 import zmq.green as zmq
 from gevent.event import AsyncResult
 
-from hollyridge.client import CloneGateway, Gateway, SaspGateway
+from hollyridge.client import CloneGateway, Gateway, Reporter, SaspGateway
 from hollyridge.lab import rpc
 from hollyridge.lab.record import Recorder
-from hollyridge.otlp.sender import Figure, post, request_of
+from hollyridge.otlp.sender import Figure
 
 
 class Pipe:
@@ -100,9 +99,7 @@
         self.out: dict[str, int] = defaultdict(int)
         self.failed: dict[str, int] = defaultdict(int)
         self.avoid_until: dict[str, float] = {}
-        self.sums: dict[tuple, list[float]] = defaultdict(lambda: [0.0, 0.0, 0.0])
-        self.rpcs: dict[int, list[int]] = defaultdict(lambda: [0, 0])
-        self.loads: dict[str, tuple[float, int]] = {}
+        self.reporter = Reporter(uid, zone)
         self.token, self.life = 0, seed
         self.down = False
         self.late = 0.0
@@ -164,7 +161,7 @@
         deadline = begun + terms["deadline_us"] / 1e6
         outcome, tries = rpc.NOT_SENT, 0
         while True:
-            self.rpcs[method][0] += 1
+            self.reporter.came(terms["name"])
             level, retry = self.gateway.level_for(terms["name"])
             outcome = rpc.PUSHED_BACK if self.rng.random() >= level else self.send(method, token, work, deadline)
             for again in range((0, 1, 1, 2)[retry]):  # as the assigner orders
@@ -173,7 +170,7 @@
                 if level and time.monotonic() + 0.05 < deadline and again < 2:
                     outcome = self.send(method, token, work, deadline)
             if outcome not in (rpc.OK, rpc.PUSHED_BACK, rpc.NOT_SENT):
-                self.rpcs[method][1] += 1
+                self.reporter.came(terms["name"], unanswered=True)
             tries += 1
             safe = terms["repeats"] == "idempotent" or outcome in (rpc.NOT_SENT, rpc.PUSHED_BACK)
             if outcome == rpc.OK or tries > self.plan["client_retries"] or not (safe or self.plan["reckless"]):
@@ -203,20 +200,17 @@
             outcome, answer = pipe.call(self.uid, method, token, work, timeout)
         self.out[task] -= 1
         took = time.monotonic() - now
-        row = self.sums[task, method]
-        row[0] += 1
+        self.reporter.met(task, self.names[method], outcome == rpc.OK, took)
         if outcome == rpc.OK:
-            row[2] += took
             self.failed[task] = 0
         else:
-            row[1] += 1
             self.failed[task] += 1
             after = self.plan["outlier_after"]
             if after and self.failed[task] >= after:
                 self.failed[task] = 0
                 self.avoid_until[task] = now + self.rng.uniform(2.0, 4.0)
         if answer is not None:
-            self.loads[task] = answer.util, answer.queue
+            self.reporter.load(task, util=answer.util, queue=answer.queue)
         return outcome
 
     # Reports.
@@ -228,45 +222,14 @@
         while not self.down:
             gevent.sleep(period)
             end = time.time_ns()
-            figures = self.figures(begun, end)
+            figures = self.reporter.figures(begun, end)
             begun = end
             if figures:
                 gevent.spawn_later(self.late + self.rng.uniform(0, 0.1), self.post, figures)
 
-    def figures(self, begun: int, end: int) -> list[Figure]:
-        sums, self.sums = self.sums, defaultdict(lambda: [0.0, 0.0, 0.0])
-        rpcs, self.rpcs = self.rpcs, defaultdict(lambda: [0, 0])
-        loads, self.loads = self.loads, {}
-        out = []
-        for (task, method), row in sums.items():
-            place = {"proxy": self.uid, "zone": self.zone, "task": task, "method": self.methods[method]["name"]}
-            for name, value in zip(("tries", "tries.failed", "tries.time"), row):
-                out.append(Figure(f"hollyridge.{name}", value, place, end, begun))
-        for method, (came, unanswered) in rpcs.items():
-            place = {"proxy": self.uid, "method": self.methods[method]["name"]}
-            out.append(Figure("hollyridge.rpcs", came, place, end, begun))
-            out.append(Figure("hollyridge.rpcs.unanswered", unanswered, place, end, begun))
-        for task, (util, queue) in loads.items():
-            out.append(Figure("hollyridge.task.util", util, {"task": task}, end))
-            out.append(Figure("hollyridge.task.queue", queue, {"task": task}, end))
-        return out
-
     def post(self, figures: list[Figure]) -> None:
-        """Send a report; after a time-out the same again, which is to be counted once."""
-        request = request_of(self.uid, figures)
-        for _ in range(2):
-            if self.down:
-                return
-            connection = http.client.HTTPConnection(*self.plan["otlp"], timeout=2)
-            try:
-                status, _ = post(connection, request)
-                if status == 200:
-                    return
-            except (OSError, http.client.HTTPException):
-                pass
-            finally:
-                connection.close()
-            gevent.sleep(0.3)
+        if not self.down:
+            self.reporter.send(tuple(self.plan["otlp"]), figures, gevent.sleep)
 
     def stop(self) -> None:
         self.down = True
--- a/tests/test_clone.py
+++ b/tests/test_clone.py
@@ -187,6 +187,22 @@
     assert wait_for(lambda: not r.machine.fronts, 4) and r.clone.counts["cut"] == 1
 
 
+def test_a_withdrawn_task_leaves_all_tables_till_it_is_allowed_again(rig):  # noqa: F811
+    from hollyridge import interface as api
+    r = clone_rig(rig)
+    r.agent()
+    gateway = open_gateway(r)
+    assert wait_for(lambda: hosts(gateway) == {1, 2, 3, 4})
+    for out, left in ((True, {2, 3, 4}), (False, {1, 2, 3, 4})):
+        r.machine.number += 1
+        now = r.service.loop.clock()
+        r.machine.carry(now, now, [api.Withdraw(0, out)])
+        r.service.loop.nudge()
+        assert wait_for(lambda left=left: hosts(gateway) == left, 2)
+    late = open_gateway(r, "late")
+    assert wait_for(lambda: hosts(late) == {1, 2, 3, 4})
+
+
 def test_an_assigner_that_restarts_with_smaller_numbers(rig):  # noqa: F811
     r = clone_rig(rig)
     r.agent()
