--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -24,7 +24,7 @@
 from soak import usage
 
 from hollyridge.client import CloneGateway
-from hollyridge.lab.day import free_port, free_ports
+from hollyridge.lab.live import free_port, free_ports
 from hollyridge.sasp.client import Balancer, Held, LostError, Registrar
 from hollyridge.sasp.codec import Member
 
--- a/benchmarks/joins.py
+++ b/benchmarks/joins.py
@@ -17,7 +17,7 @@
 import msgspec
 from gevent import socket
 
-from hollyridge.lab.day import free_port
+from hollyridge.lab.live import free_port
 from hollyridge.sasp.client import Balancer, Registrar
 from hollyridge.sasp.codec import Member
 from hollyridge.settings.assigner import load
--- a/hollyridge/cli/day.py
+++ b/hollyridge/cli/day.py
@@ -13,6 +13,7 @@
 
 from hollyridge.lab import script as scripts
 from hollyridge.lab.day import Day, DayError, Outcome
+from hollyridge.lab.live import LiveStage
 from hollyridge.lab.policies import POLICIES
 from hollyridge.settings.ini import FaultsError
 
@@ -56,7 +57,7 @@
         main = gevent.getcurrent()
         gevent.signal_handler(signal.SIGTERM, lambda: main.throw(DayError("ended by a signal")))
         try:
-            outcome = Day(script, folder, policy, seed, tick, fronts).play()
+            outcome = Day(script, LiveStage(script, folder, policy, fronts), seed, tick, fronts).play()
         except DayError as trouble:
             click.echo(f"the day could not be played: {trouble}", err=True)
             for log in sorted(folder.glob("*.log")):
--- a/hollyridge/lab/agent.py
+++ b/hollyridge/lab/agent.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
 
 import gevent
 from gevent.event import Event
 
-from hollyridge.lab.record import Recorder, now_us
+from hollyridge.lab.record import Recorder
 from hollyridge.sasp.client import LostError, RefusedError, Registrar
 from hollyridge.sasp.codec import Member
 
@@ -23,7 +24,8 @@
 class Agent:
     """Its list is kept through breaks and said again on every new stream. Whoever calls it hears late itself."""
 
-    def __init__(self, address: tuple[str, int], fleet: str, record: Recorder) -> None:
+    def __init__(self, address: tuple[str, int], fleet: str, record: Recorder,
+                 spawn: Callable = gevent.spawn) -> None:
         self.address, self.fleet, self.record = address, fleet, record
         self.known: dict[str, Known] = {}
         self.left: dict[str, None] = {}
@@ -31,13 +33,13 @@
         self.stream = 0
         self.told: dict[str, Known] = {}
         self.synced = Event()
-        self.job = gevent.spawn(self.run)
+        self.job = spawn(self.run)
 
     def member(self, key: str, known: Known | None = None) -> Member:
         host, _, port = key.rpartition(":")
         label = ""
         if known is not None:
-            up = (now_us() - known.born) / 1e6 if known.born else 1e6
+            up = (self.record.clock() - known.born) / 1e6 if known.born else 1e6
             label = f"{known.name} run={known.run} up={up:.3f}"
         return Member.at(host, int(port), label)
 
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -1,28 +1,16 @@
-"""Plays a scripted day: a real assigner process, stand-ins around it, troubles at their times; then the checker."""
+"""Plays a scripted day: an assigner, stand-ins around it, troubles at their times; then the checker."""
 
 from __future__ import annotations
 
-import configparser
 import ipaddress
-import signal
-import socket
-import sys
-import time
 from collections.abc import Callable
-from pathlib import Path
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
-import gevent
-import msgspec
-from gevent import subprocess
-from gevent.event import AsyncResult
-
-from hollyridge.lab.agent import Agent
 from hollyridge.lab.checker import Figures, Verdict, check
 from hollyridge.lab.figures import figures_of
 from hollyridge.lab.parity import compare
-from hollyridge.lab.record import Recorder, now_us, read_all
 from hollyridge.lab.script import Script, TroubleSection
 
 
@@ -49,77 +37,23 @@
         return f"{self.host}:{self.port}"
 
 
-class House:
-    """A process of stand-ins, spoken to by lines."""
-
-    def __init__(self, folder: Path, name: str, heard: Callable[[dict], None]) -> None:
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "hollyridge.lab.house", str(folder / f"{name}.jsonl")],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=open(folder / f"{name}.log", "wb"))
-        self.reader = gevent.spawn(self.read, heard)
-
-    def read(self, heard: Callable[[dict], None]) -> None:
-        for line in self.process.stdout:
-            heard(msgspec.json.decode(line))
-
-    def do(self, what: str, **terms) -> None:
-        if self.process.poll() is not None:
-            raise DayError("a house of stand-ins has ended")
-        self.process.stdin.write(msgspec.json.encode({"do": what, **terms}) + b"\n")
-        self.process.stdin.flush()
-
-    def end(self) -> None:
-        try:
-            self.process.stdin.close()
-            self.process.wait(timeout=5)
-        except (OSError, subprocess.TimeoutExpired):
-            self.process.kill()
-            self.process.wait()
-
-
-def free_ports(count: int) -> int:
-    """The first of so many free ports in a row."""
-    for _ in range(100):
-        first = free_port()
-        probes = []
-        try:
-            for at in range(count):
-                probe = socket.socket()
-                probes.append(probe)
-                probe.bind(("127.0.0.1", first + at))
-            return first
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-    raise DayError("no free ports in a row")
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Day:
-    """`policy` names another decision module of the laboratory; `tick(part)` is told how far the day is."""
+    """The story of a day, on whichever stage: `stage` brings the world, the houses of stand-ins, the assigner and
+    the agent's line to it. `tick(part)` is told how far the day is."""
 
-    def __init__(self, script: Script, folder: Path, policy: str = "", seed: int | None = None,
+    def __init__(self, script: Script, stage, seed: int | None = None,
                  tick: Callable[[float], None] = lambda part: None, fronts: tuple[str, ...] = ("sasp",)) -> None:
-        self.script, self.folder, self.policy, self.tick = script, folder, policy, tick
+        self.script, self.stage, self.tick = script, stage, tick
+        self.world = stage.world
         self.terms = script.terms
         self.rng = Random(script.day.seed if seed is None else seed)
-        self.record = Recorder(folder / "day.jsonl")
+        self.record = stage.record
         self.zones = self.terms.zone_names
         self.units: dict[str, Unit] = {}
         self.proxies: dict[str, int] = {}  # uid: zone
         self.proxy_terms: dict[str, dict] = {}
-        self.started: dict[str, AsyncResult] = {}
+        self.started: dict[str, object] = {}
         self.fronts = fronts
-        self.ports = free_port(), free_port(), free_ports(3)
-        self.assigner = None
-        self.assigner_starts = 0
         self.runs = 0
         self.troubles: list[dict] = []
         self.begun: set[str] = set()
@@ -134,42 +68,12 @@
             raise DayError(f"zone {self.zones[zone]}: a day is played on networks of 127.0.0.0/8 only")
         return str(network.network_address + number)
 
-    def settings_file(self) -> Path:
-        parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
-        parser.read(self.script.path.parent / self.script.day.settings)
-        clone = f"127.0.0.1:{self.ports[2]}" if "clone" in self.fronts else ""
-        changes = [(*place, value) for place, value in self.script.overrides.items()]
-        for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
-                                    ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
-                                    ("clone", "listen", clone), ("log", "format", "json"),
-                                    ("log", "status_every_s", "5")):
-            if not parser.has_section(section):
-                parser.add_section(section)
-            parser.set(section, key, value)
-        path = self.folder / "assigner.ini"
-        with open(path, "w") as out:
-            parser.write(out)
-        return path
-
     def start_assigner(self) -> None:
-        self.assigner_starts += 1
-        program = ["-m", "hollyridge.lab.assigner", self.policy] if self.policy else \
-            ["-m", "hollyridge.cli.main", "serve"]
-        log = open(self.folder / f"assigner-{self.assigner_starts}.log", "wb")
-        self.assigner = subprocess.Popen([sys.executable, *program, str(self.folder / "assigner.ini")], stderr=log)
-        for _ in range(200):
-            if self.assigner.poll() is not None:
-                raise DayError(f"the assigner ended with {self.assigner.returncode}")
-            try:
-                socket.create_connection(("127.0.0.1", self.ports[1]), timeout=1).close()
-                break
-            except OSError:
-                gevent.sleep(0.05)
+        self.stage.start_assigner()
         self.record("assigner", up=True)
 
     def kill_assigner(self) -> None:
-        self.assigner.send_signal(signal.SIGKILL)
-        self.assigner.wait()
+        self.stage.kill_assigner()
         self.record("assigner", up=False)
 
     def heard(self, facts: dict) -> None:
@@ -178,7 +82,7 @@
         elif "fell" in facts:
             unit = self.units[facts["fell"]]
             unit.up = False
-            gevent.spawn_later(self.notice(), self.agent.gone, unit.key, unit.run)
+            self.world.later(self.notice(), self.agent.gone, unit.key, unit.run)
 
     def notice(self) -> float:
         low, high = self.script.day.notice_ms
@@ -189,7 +93,7 @@
         fleet, methods = self.script.fleet, list(self.terms.methods.values())
         self.runs += 1
         unit.run = f"r{self.runs}"
-        waiter = self.started[unit.run] = AsyncResult()
+        waiter = self.started[unit.run] = self.world.result()
         promises = self.terms.promises
         build = dict(cores=fleet.cores, speed=1 + fleet.speed_spread * (2 * self.rng.random() - 1),
                      slots=fleet.slots, queue=fleet.queue, cold_from=fleet.cold_from,
@@ -202,9 +106,9 @@
             seed=self.rng.randrange(1 << 30))
         try:
             unit.port = int(waiter.get(timeout=15).rpartition(":")[2])
-        except gevent.Timeout:
+        except TimeoutError:
             raise DayError(f"task {unit.name} did not start") from None
-        unit.born, unit.up = now_us() if cold else 0, True
+        unit.born, unit.up = self.world.now() if cold else 0, True
 
     def stop_task(self, unit: Unit) -> None:
         if unit.up:
@@ -213,17 +117,16 @@
 
     def lay_out(self) -> None:
         names = len(self.zones)
-        self.task_houses = [House(self.folder, f"tasks-{z}", self.heard) for z in range(names)]
-        self.proxy_houses = [House(self.folder, f"proxies-{z}", self.heard) for z in range(names)]
-        self.settings_file()
+        self.task_houses = [self.stage.house(f"tasks-{z}", self.heard) for z in range(names)]
+        self.proxy_houses = [self.stage.house(f"proxies-{z}", self.heard) for z in range(names)]
         self.start_assigner()
-        self.agent = Agent(("127.0.0.1", self.ports[0]), self.terms.sasp.fleet, self.record)
+        self.agent = self.stage.agent()
         self.spare = 10
         for k in range(self.script.fleet.tasks):
             self.new_unit(k % names, cold=False)
         for unit in self.units.values():
             self.agent.running(unit.key, unit.name, unit.run, unit.born)
-        self.agent.synced.wait(5)
+        self.stage.settle(self.agent)
         weights = [self.rng.lognormvariate(0, 0.5) for _ in range(self.script.fleet.proxies)]
         for k, weight in enumerate(weights):
             uid, zone = f"gw-{k}", k % names
@@ -249,8 +152,7 @@
         methods = [dict(name=name, group=m.group or name, repeats=m.repeats, share=load.shares[k],
                         work_us=load.work_ms[k] * 1e3, deadline_us=m.deadline_ms * 1e3)
                    for k, (name, m) in enumerate(terms.methods.items())]
-        return dict(methods=methods, front=front, sasp=["127.0.0.1", self.ports[0]],
-                    clone=["127.0.0.1", self.ports[2]], otlp=["127.0.0.1", self.ports[1]],
+        return dict(methods=methods, front=front, **self.stage.addresses,
                     pick=terms.proxies.pick, outlier_after=terms.proxies.outlier_after, apply_us=40,
                     client_retries=load.client_retries, reckless=load.reckless, try_share=load.try_share,
                     period_us=terms.assigner.report_period_s * 1e6)
@@ -270,40 +172,36 @@
         """Each old task drains, is replaced by a new one under another address, and goes."""
         old = self.some(self.standing_units(), trouble.part)
         gap = trouble.for_s / max(len(old), 1)
-        jobs = []
-        for unit in old:
-            jobs.append(gevent.spawn(self.replace, unit))
-            gevent.sleep(gap)
-        gevent.joinall(jobs)
+        self.together([(self.replace, unit) for unit in old], gap)
 
     def replace(self, unit: Unit) -> None:
         new = self.new_unit(unit.zone, cold=True)
-        gevent.spawn_later(self.notice(), self.agent.running, new.key, new.name, new.run, new.born)
-        gevent.sleep(self.notice())
+        self.world.later(self.notice(), self.agent.running, new.key, new.name, new.run, new.born)
+        self.world.sleep(self.notice())
         self.agent.drains(unit.key)
-        gevent.sleep(self.terms.promises.drain_grace_s + 1.5)
+        self.world.sleep(self.terms.promises.drain_grace_s + 1.5)
         if unit.up:
             self.stop_task(unit)
-            gevent.sleep(self.notice())
+            self.world.sleep(self.notice())
             self.agent.gone(unit.key, unit.run)
 
     def zone_lost(self, trouble: TroubleSection) -> None:
         lost = self.standing_units(self.zone_of(trouble))
         for unit in lost:
             self.stop_task(unit)
-            gevent.spawn_later(self.notice(), self.agent.gone, unit.key, unit.run)
-        gevent.sleep(trouble.for_s)
+            self.world.later(self.notice(), self.agent.gone, unit.key, unit.run)
+        self.world.sleep(trouble.for_s)
         for unit in lost:
             self.run_task(unit, cold=True)
-            gevent.spawn_later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
 
     def restart_in_place(self, trouble: TroubleSection) -> None:
         """Killed and back under the same address before the agent has noticed."""
         for unit in self.some(self.standing_units(), trouble.part):
             self.stop_task(unit)
-            gevent.sleep(0.2)
+            self.world.sleep(0.2)
             self.run_task(unit, cold=True)
-            gevent.spawn_later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
 
     def zone_cut(self, trouble: TroubleSection) -> None:
         """Tasks of one zone can't be reached from the others; streams and reports go on."""
@@ -312,16 +210,36 @@
         others = [house for z, house in enumerate(self.proxy_houses) if z != zone]
         self.for_a_while(trouble, others, "", cut=[octet], after={"cut": []})
 
-    def for_a_while(self, trouble: TroubleSection, houses: list[House], name: str, after: dict, **what) -> None:
+    def for_a_while(self, trouble: TroubleSection, houses: list, name: str, after: dict, **what) -> None:
         for house in houses:
             house.do("set", name=name, **what)
-        gevent.sleep(trouble.for_s)
+        self.world.sleep(trouble.for_s)
         for house in houses:
             house.do("set", name=name, **after)
 
+    def together(self, jobs: list[tuple], gap: float = 0.0) -> None:
+        """Do all of these beside each other, begun one after the other, until all are done."""
+        done = []
+
+        def work(call: Callable, words: tuple, result) -> None:
+            try:
+                call(*words)
+            except Exception as failure:  # told below, where the trouble is told
+                result.set(failure)
+            result.set(None)
+        for call, *words in jobs:
+            done.append(self.world.result())
+            self.world.spawn(work, call, tuple(words), done[-1])
+            if gap:
+                self.world.sleep(gap)
+        for result in done:
+            failure = result.get()
+            if failure is not None:
+                raise failure
+
     def at_tasks(self, trouble: TroubleSection, after: dict, **what) -> None:
-        gevent.joinall([gevent.spawn(self.for_a_while, trouble, [self.task_houses[u.zone]], u.name, after, **what)
-                        for u in self.some(self.standing_units(trouble.zone), trouble.part)])
+        self.together([(partial(self.for_a_while, **what), trouble, [self.task_houses[u.zone]], u.name, after)
+                       for u in self.some(self.standing_units(trouble.zone), trouble.part)])
 
     def hang(self, trouble: TroubleSection) -> None:
         self.at_tasks(trouble, {"hung": False}, hung=True)
@@ -330,13 +248,13 @@
         self.at_tasks(trouble, {"errors": 0.0}, errors=trouble.size)
 
     def pauses(self, trouble: TroubleSection) -> None:
-        until = time.monotonic() + trouble.for_s
+        until = self.world.now() + trouble.for_s * 1e6
         units = self.some(self.standing_units(trouble.zone), trouble.part)
-        while time.monotonic() < until:
+        while self.world.now() < until:
             for unit in units:
                 if unit.up:
                     self.task_houses[unit.zone].do("pause", name=unit.name, seconds=trouble.size)
-            gevent.sleep(trouble.size * 3)
+            self.world.sleep(trouble.size * 3)
 
     def streams_broken(self, trouble: TroubleSection) -> None:
         for uid in self.some(list(self.proxies), trouble.part):
@@ -355,14 +273,14 @@
 
     def assigner_killed(self, trouble: TroubleSection) -> None:
         self.kill_assigner()
-        gevent.sleep(trouble.for_s)
+        self.world.sleep(trouble.for_s)
         self.start_assigner()
 
     def proxies_killed(self, trouble: TroubleSection) -> None:
         killed = self.some(list(self.proxies), trouble.part)
         for uid in killed:
             self.proxy_houses[self.proxies[uid]].do("kill", name=uid)
-        gevent.sleep(trouble.for_s)
+        self.world.sleep(trouble.for_s)
         for uid in killed:  # it comes back with a standing table of what is listed now
             zone = self.proxies[uid]
             home = [key for key, known in self.agent.told.items() if not known.draining]
@@ -375,8 +293,8 @@
         return next(u.zone for u in self.units.values() if u.key == key)
 
     def cause(self, name: str, trouble: TroubleSection) -> None:
-        gevent.sleep(trouble.at_s)
-        begun = now_us()
+        self.world.sleep(trouble.at_s)
+        begun = self.world.now()
         try:
             self.record("trouble", name=name, trouble=trouble.kind, begins=True)
             self.begun.add(name)
@@ -384,51 +302,27 @@
         except Exception as failure:  # a day whose trouble did not happen proves nothing
             self.failures.append(f"trouble {name}: {type(failure).__name__}: {failure}")
         self.record("trouble", name=name, trouble=trouble.kind, begins=False)
-        self.troubles.append(dict(name=name, kind=trouble.kind, begun=begun, ended=now_us()))
+        self.troubles.append(dict(name=name, kind=trouble.kind, begun=begun, ended=self.world.now()))
 
     # The whole.
 
     def play(self) -> Outcome:
         """Raises DayError where the day could not be played as scripted."""
-        begun = now_us()
+        begun = self.world.now()
         try:
-            self.lay_out()
-            begun = now_us()
-            jobs = [gevent.spawn(self.cause, name, trouble) for name, trouble in self.script.troubles.items()]
-            length = self.script.day.length_s
-            while (passed := (now_us() - begun) / 1e6) < length:
-                self.tick(min(1.0, passed / length))
-                gevent.sleep(0.25)
-                if self.failures:
-                    raise DayError("; ".join(self.failures))
-            self.tick(1.0)
-            gevent.killall(jobs)
+            begun = self.stage.act(self)
         finally:
-            self.end()
+            self.stage.end()
         missing = set(self.script.troubles) - self.begun
+        self.failures += self.stage.failures
         if missing or self.failures:
             raise DayError("; ".join(self.failures) or f"troubles that never began: {sorted(missing)}")
-        self.record.flush()
-        rows = read_all(self.folder)
+        rows = self.stage.recorded()
         for row in self.troubles:
             row["begun"], row["ended"] = ((row[key] - begun) / 1e6 for key in ("begun", "ended"))
         compared = compare(rows) if len(self.fronts) > 1 else (0, 0, "")
         return Outcome(check(rows, self.figures()), figures_of(rows, self.methods()), self.troubles, compared)
 
-    def end(self) -> None:
-        for house in [*getattr(self, "proxy_houses", []), *getattr(self, "task_houses", [])]:
-            house.end()
-        if self.assigner is not None and self.assigner.poll() is None:
-            self.assigner.terminate()
-            try:
-                code = self.assigner.wait(timeout=5)
-                if code:
-                    self.failures.append(f"the assigner ended with {code}")
-            except subprocess.TimeoutExpired:
-                self.assigner.kill()
-                self.assigner.wait()
-                self.failures.append("the assigner did not end on SIGTERM")
-
     def methods(self) -> list[dict]:
         return [dict(name=name, criticality=m.criticality, soft_us=m.soft_deadline_ms * 1e3,
                      deadline_us=m.deadline_ms * 1e3) for name, m in self.terms.methods.items()]
--- a/hollyridge/lab/house.py
+++ b/hollyridge/lab/house.py
@@ -16,13 +16,14 @@
 from hollyridge.lab.physics import Build  # noqa: E402
 from hollyridge.lab.proxy import Proxy  # noqa: E402
 from hollyridge.lab.record import Recorder  # noqa: E402
-from hollyridge.lab.task import Task  # noqa: E402
+from hollyridge.lab.task import Task, TaskServer  # noqa: E402
+from hollyridge.lab.world import LiveWorld  # noqa: E402
 
 
 class House:
     def __init__(self, path: str) -> None:
-        self.record = Recorder(path)
-        self.tasks: dict[str, Task] = {}
+        self.record, self.world = Recorder(path), LiveWorld()
+        self.tasks: dict[str, TaskServer] = {}
         self.proxies: dict[str, Proxy] = {}
         self.effects: dict[str, int] = {}  # tokens of the tasks here: one house holds one zone
 
@@ -36,13 +37,14 @@
 
     def do_task(self, name: str, host: str, port: int, run: str, build: dict, cold: bool, kinds: list, window: list,
                 seed: int) -> None:
-        task = Task(name, host, port, run, Build(**build), cold, kinds, window, self.effects, self.record, seed,
-                    lambda task: self.say(fell=task.name))
+        task = TaskServer(self.world, name, host, port, run=run, build=Build(**build), cold=cold, kinds=kinds,
+                          window=window, effects=self.effects, record=self.record, seed=seed,
+                          fell=lambda task: self.say(fell=task.name))
         self.tasks[name] = task
-        self.say(started=name, key=task.key, run=run)
+        self.say(started=name, key=task.task.key, run=run)
 
     def do_proxy(self, uid: str, **terms) -> None:
-        self.proxies[uid] = Proxy(uid, record=self.record, **terms)
+        self.proxies[uid] = Proxy(self.world, uid, record=self.record, **terms)
 
     def do_kill(self, name: str) -> None:
         if name in self.tasks:
@@ -52,7 +54,7 @@
 
     def do_set(self, name: str, **what) -> None:
         """Attributes of one stand-in, or of all for an empty name."""
-        for one in [*self.tasks.values(), *self.proxies.values()]:
+        for one in [*(server.task for server in self.tasks.values()), *self.proxies.values()]:
             key = one.name if isinstance(one, Task) else one.uid
             if name in ("", key):
                 for attribute, value in what.items():
@@ -61,7 +63,7 @@
 
     def do_pause(self, name: str, seconds: float) -> None:
         if name in self.tasks:
-            self.tasks[name].pause(seconds)
+            self.tasks[name].task.pause(seconds)
 
     def do_break(self, name: str) -> None:
         for proxy in self.proxies.values():
--- /dev/null
+++ b/hollyridge/lab/live.py
@@ -0,0 +1,168 @@
+"""The real stage: an assigner in a process of its own, houses of stand-ins in others, sockets on loopback."""
+
+from __future__ import annotations
+
+import configparser
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+import msgspec
+from gevent import subprocess
+
+from hollyridge.lab.agent import Agent
+from hollyridge.lab.day import Day, DayError
+from hollyridge.lab.record import Recorder, now_us, read_all
+from hollyridge.lab.script import Script
+from hollyridge.lab.world import LiveWorld
+
+
+class House:
+    """A process of stand-ins, spoken to by lines."""
+
+    def __init__(self, folder: Path, name: str, heard: Callable[[dict], None]) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "hollyridge.lab.house", str(folder / f"{name}.jsonl")],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=open(folder / f"{name}.log", "wb"))
+        self.reader = gevent.spawn(self.read, heard)
+
+    def read(self, heard: Callable[[dict], None]) -> None:
+        for line in self.process.stdout:
+            heard(msgspec.json.decode(line))
+
+    def do(self, what: str, **terms) -> None:
+        if self.process.poll() is not None:
+            raise DayError("a house of stand-ins has ended")
+        self.process.stdin.write(msgspec.json.encode({"do": what, **terms}) + b"\n")
+        self.process.stdin.flush()
+
+    def end(self) -> None:
+        try:
+            self.process.stdin.close()
+            self.process.wait(timeout=5)
+        except (OSError, subprocess.TimeoutExpired):
+            self.process.kill()
+            self.process.wait()
+
+
+def free_ports(count: int) -> int:
+    """The first of so many free ports in a row."""
+    for _ in range(100):
+        first = free_port()
+        probes = []
+        try:
+            for at in range(count):
+                probe = socket.socket()
+                probes.append(probe)
+                probe.bind(("127.0.0.1", first + at))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+    raise DayError("no free ports in a row")
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class LiveStage:
+    """`policy` names another decision module of the laboratory."""
+
+    def __init__(self, script: Script, folder: Path, policy: str = "", fronts: tuple[str, ...] = ("sasp",)) -> None:
+        self.script, self.folder, self.policy, self.fronts = script, folder, policy, fronts
+        self.world = LiveWorld()
+        self.record = Recorder(folder / "day.jsonl")
+        self.ports = free_port(), free_port(), free_ports(3)
+        self.addresses = {name: ["127.0.0.1", port] for name, port in zip(("sasp", "otlp", "clone"), self.ports)}
+        self.houses: list[House] = []
+        self.failures: list[str] = []
+        self.assigner = None
+        self.assigner_starts = 0
+        self.settings_file()
+
+    def house(self, name: str, heard: Callable[[dict], None]) -> House:
+        self.houses.append(House(self.folder, name, heard))
+        return self.houses[-1]
+
+    def agent(self) -> Agent:
+        return Agent(("127.0.0.1", self.ports[0]), self.script.terms.sasp.fleet, self.record)
+
+    def settle(self, agent: Agent) -> None:
+        agent.synced.wait(5)
+
+    def settings_file(self) -> Path:
+        parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
+        parser.read(self.script.path.parent / self.script.day.settings)
+        clone = f"127.0.0.1:{self.ports[2]}" if "clone" in self.fronts else ""
+        changes = [(*place, value) for place, value in self.script.overrides.items()]
+        for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
+                                    ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
+                                    ("clone", "listen", clone), ("log", "format", "json"),
+                                    ("log", "status_every_s", "5")):
+            if not parser.has_section(section):
+                parser.add_section(section)
+            parser.set(section, key, value)
+        path = self.folder / "assigner.ini"
+        with open(path, "w") as out:
+            parser.write(out)
+        return path
+
+    def start_assigner(self) -> None:
+        self.assigner_starts += 1
+        program = ["-m", "hollyridge.lab.assigner", self.policy] if self.policy else \
+            ["-m", "hollyridge.cli.main", "serve"]
+        log = open(self.folder / f"assigner-{self.assigner_starts}.log", "wb")
+        self.assigner = subprocess.Popen([sys.executable, *program, str(self.folder / "assigner.ini")], stderr=log)
+        for _ in range(200):
+            if self.assigner.poll() is not None:
+                raise DayError(f"the assigner ended with {self.assigner.returncode}")
+            try:
+                socket.create_connection(("127.0.0.1", self.ports[1]), timeout=1).close()
+                break
+            except OSError:
+                gevent.sleep(0.05)
+
+    def kill_assigner(self) -> None:
+        self.assigner.send_signal(signal.SIGKILL)
+        self.assigner.wait()
+
+    def act(self, day: Day) -> int:
+        """Let the day pass; returns when it began."""
+        day.lay_out()
+        begun = now_us()
+        jobs = [gevent.spawn(day.cause, name, trouble) for name, trouble in self.script.troubles.items()]
+        length = self.script.day.length_s
+        while (passed := (now_us() - begun) / 1e6) < length:
+            day.tick(min(1.0, passed / length))
+            gevent.sleep(0.25)
+            if day.failures:
+                raise DayError("; ".join(day.failures))
+        day.tick(1.0)
+        gevent.killall(jobs)
+        return begun
+
+    def recorded(self) -> list[dict]:
+        self.record.flush()
+        return read_all(self.folder)
+
+    def end(self) -> None:
+        for house in self.houses[::-1]:
+            house.end()
+        if self.assigner is not None and self.assigner.poll() is None:
+            self.assigner.terminate()
+            try:
+                code = self.assigner.wait(timeout=5)
+                if code:
+                    self.failures.append(f"the assigner ended with {code}")
+            except subprocess.TimeoutExpired:
+                self.assigner.kill()
+                self.assigner.wait()
+                self.failures.append("the assigner did not end on SIGTERM")
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -85,8 +85,9 @@
 class Proxy:
     """`plan` holds what the day says of proxies and clients (see `house`), `rate` its RPCs a second."""
 
-    def __init__(self, uid: str, host: str, zone: str, rate: float, plan: dict, standing: list[str], seed: int,
-                 record: Recorder) -> None:
+    def __init__(self, world, uid: str, host: str, zone: str, rate: float, plan: dict, standing: list[str],
+                 seed: int, record: Recorder) -> None:
+        self.world = world
         self.uid, self.host, self.zone, self.rate, self.plan, self.record = uid, host, zone, rate, plan, record
         self.rng = Random(seed)
         self.methods = plan["methods"]
@@ -107,7 +108,7 @@
         self.factor = 1.0
         self.gateway.on_change(self.tidy)
         self.gateway.watch = self.watch
-        self.jobs = [gevent.spawn(job) for job in (self.gateway.run, self.live, self.report)]
+        self.jobs = [world.spawn(job) for job in (self.gateway.run, self.live, self.report)]
 
     # Orders.
 
@@ -130,9 +131,9 @@
 
     def apply(self, lines: int) -> None:
         """Applying takes time; one that is deaf reads no further."""
-        gevent.sleep(self.plan["apply_us"] * lines / 1e6)
+        self.world.sleep(self.plan["apply_us"] * lines / 1e6)
         while self.deaf:
-            gevent.sleep(0.05)
+            self.world.sleep(0.05)
 
     def hang_up(self) -> None:
         self.gateway.hang_up()
@@ -142,20 +143,40 @@
         for task in [t for t in self.pipes if t not in used and not self.out[t]]:
             self.pipes.pop(task).close()
 
+    # What a simulated proxy has otherwise.
+
+    def seconds(self) -> float:
+        return self.world.now() / 1e6
+
+    def wall(self) -> int:
+        return time.time_ns()
+
+    def dial(self, task: str) -> Pipe:
+        return Pipe(task)
+
+    def say(self, figures: list[Figure]) -> None:
+        self.reporter.send(tuple(self.plan["otlp"]), figures, gevent.sleep)
+
+    def pipe(self, task: str) -> Pipe:
+        pipe = self.pipes.get(task)
+        if pipe is None:
+            pipe = self.pipes[task] = self.dial(task)
+        return pipe
+
     # Work.
 
     def live(self) -> None:
         shares = [m["share"] for m in self.methods]
         while not self.down:
-            gevent.sleep(self.rng.expovariate(max(1e-6, self.rate * self.factor)))
+            self.world.sleep(self.rng.expovariate(max(1e-6, self.rate * self.factor)))
             method = self.rng.choices(range(len(shares)), shares)[0]
             mean = self.methods[method]["work_us"]
             work = self.rng.lognormvariate(0, 0.6) / 1.197 * mean
-            gevent.spawn(self.client_rpc, method, work)
+            self.world.spawn(self.client_rpc, method, work)
 
     def client_rpc(self, method: int, work: float) -> None:
         """A client's RPC with its own retries: after any failure where that is safe, else only after proof."""
-        terms, begun = self.methods[method], time.monotonic()
+        terms, begun = self.methods[method], self.seconds()
         self.token += 1
         token = f"{self.uid}.{self.life}.{self.token}"
         deadline = begun + terms["deadline_us"] / 1e6
@@ -163,11 +184,13 @@
         while True:
             self.reporter.came(terms["name"])
             level, retry = self.gateway.level_for(terms["name"])
-            outcome = rpc.PUSHED_BACK if self.rng.random() >= level else self.send(method, token, work, deadline)
-            for again in range((0, 1, 1, 2)[retry]):  # as the assigner orders
-                if outcome not in (rpc.PUSHED_BACK, rpc.NOT_SENT) and (retry == 1 or outcome == rpc.OK):
-                    break
-                if level and time.monotonic() + 0.05 < deadline and again < 2:
+            outcome = rpc.PUSHED_BACK
+            if self.rng.random() < level:
+                outcome = self.send(method, token, work, deadline)
+                for _ in range((0, 1, 1, 2)[retry]):  # as the assigner orders
+                    never_ran = outcome in (rpc.PUSHED_BACK, rpc.NOT_SENT)
+                    if outcome == rpc.OK or not never_ran and retry == 1 or self.seconds() + 0.05 >= deadline:
+                        break
                     outcome = self.send(method, token, work, deadline)
             if outcome not in (rpc.OK, rpc.PUSHED_BACK, rpc.NOT_SENT):
                 self.reporter.came(terms["name"], unanswered=True)
@@ -176,30 +199,30 @@
             if outcome == rpc.OK or tries > self.plan["client_retries"] or not (safe or self.plan["reckless"]):
                 break
             pause = self.rng.uniform(0.5, 1.5) * 0.05 * 2 ** tries
-            if time.monotonic() + pause >= deadline:
+            if self.seconds() + pause >= deadline:
                 break
-            gevent.sleep(pause)
-        took = round((time.monotonic() - begun) * 1e6)
+            self.world.sleep(pause)
+        took = round((self.seconds() - begun) * 1e6)
         self.record("done", proxy=self.uid, method=method, ok=outcome == rpc.OK, took=took, tries=tries)
 
     def send(self, method: int, token: str, work: float, deadline: float) -> int:
-        now = time.monotonic()
+        now = self.seconds()
         avoid = {task for task, until in self.avoid_until.items() if until > now}
         task = self.gateway.pick(self.names[method], self.out.__getitem__, avoid)
         if task is None:
             self.record("no_line", proxy=self.uid, method=method)
             return rpc.NOT_SENT
-        pipe = self.pipes.setdefault(task, Pipe(task))
+        pipe = self.pipe(task)
         timeout = max(0.01, (deadline - now) * self.plan["try_share"])
         self.record("try", proxy=self.uid, task=task, method=method, token=token)
         self.out[task] += 1
         if task.split(".")[1] in self.cut:
-            gevent.sleep(timeout)
+            self.world.sleep(timeout)
             outcome, answer = rpc.NO_ANSWER, None
         else:
             outcome, answer = pipe.call(self.uid, method, token, work, timeout)
         self.out[task] -= 1
-        took = time.monotonic() - now
+        took = self.seconds() - now
         self.reporter.met(task, self.names[method], outcome == rpc.OK, took)
         if outcome == rpc.OK:
             self.failed[task] = 0
@@ -217,24 +240,24 @@
 
     def report(self) -> None:
         period = self.plan["period_us"] / 1e6
-        gevent.sleep(self.rng.uniform(0, period))
-        begun = time.time_ns()
+        self.world.sleep(self.rng.uniform(0, period))
+        begun = self.wall()
         while not self.down:
-            gevent.sleep(period)
-            end = time.time_ns()
+            self.world.sleep(period)
+            end = self.wall()
             figures = self.reporter.figures(begun, end)
             begun = end
             if figures:
-                gevent.spawn_later(self.late + self.rng.uniform(0, 0.1), self.post, figures)
+                self.world.later(self.late + self.rng.uniform(0, 0.1), self.post, figures)
 
     def post(self, figures: list[Figure]) -> None:
         if not self.down:
-            self.reporter.send(tuple(self.plan["otlp"]), figures, gevent.sleep)
+            self.say(figures)
 
     def stop(self) -> None:
         self.down = True
         self.gateway.stop()
-        gevent.killall(self.jobs, block=False)
+        gevent.killall([job for job in self.jobs if job is not None], block=False)
         for pipe in self.pipes.values():
             pipe.close()
         self.record("proxy_down", proxy=self.uid)
--- a/hollyridge/lab/record.py
+++ b/hollyridge/lab/record.py
@@ -4,6 +4,7 @@
 
 import base64
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -14,16 +15,22 @@
 
 
 class Recorder:
-    """Appends to a file of its own; a process that is killed loses at most the last second."""
+    """Appends to a file of its own, or to `rows` where no path is given; a process that is killed loses at most the
+    last second."""
 
-    def __init__(self, path: Path | str) -> None:
-        self.file = open(path, "ab", buffering=1 << 16)
+    def __init__(self, path: Path | str | None, clock: Callable[[], int] = now_us) -> None:
+        self.file = open(path, "ab", buffering=1 << 16) if path is not None else None
+        self.clock, self.rows = clock, []
         self.encoder = msgspec.json.Encoder()
         self.flushed = now_us()
 
     def __call__(self, kind: str, **facts) -> None:
-        now = now_us()
-        self.file.write(self.encoder.encode({"k": kind, "t": now, **facts}) + b"\n")
+        now = self.clock()
+        row = {"k": kind, "t": now, **facts}
+        if self.file is None:
+            self.rows.append(row)
+            return
+        self.file.write(self.encoder.encode(row) + b"\n")
         if now - self.flushed > 500_000:
             self.flush()
 
@@ -34,8 +41,9 @@
         self(kind, who=who, stream=stream, parts=[base64.b64encode(part).decode() for part in parts])
 
     def flush(self) -> None:
-        self.file.flush()
-        self.flushed = now_us()
+        if self.file is not None:
+            self.file.flush()
+            self.flushed = now_us()
 
 
 def read_all(folder: Path | str) -> list[dict]:
--- a/tests/test_clone.py
+++ b/tests/test_clone.py
@@ -129,7 +129,7 @@
 # On real sockets.
 
 def clone_rig(rig, **overrides):  # noqa: F811
-    from hollyridge.lab.day import free_ports
+    from hollyridge.lab.live import free_ports
     r = rig(**{"clone__listen": f"127.0.0.1:{free_ports(3)}", "clone__beat_ms": 100, **overrides})
     r.clone, r.context = r.service.clone, zmq.Context()
     return r
