--- /dev/null
+++ b/hollyridge/cli/lab.py
@@ -0,0 +1,132 @@
+"""`hollyridge lab`: simulated days, comparisons, hunts."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+
+@click.group()
+def lab() -> None:
+    """The laboratory: days under a simulated clock, paired comparisons, hunts for bad days."""
+
+
+def load(path: str, settings: str = ""):
+    from hollyridge.lab import script
+    from hollyridge.settings.ini import FaultsError
+    try:
+        return script.load(path, settings)
+    except FaultsError as trouble:
+        for fault in trouble.faults:
+            click.echo(f"{path}: {fault}", err=True)
+        sys.exit(2)
+
+
+@lab.command()
+@click.argument("scenario", type=click.Path())
+@click.option("--seed", type=int, help="Instead of the script's own.")
+@click.option("--record", type=click.Path(dir_okay=False), help="Keep the recording in this file.")
+@click.option("--live", is_flag=True, help="On real sockets, in real time.")
+@click.option("--policy", default="", help="Another decision module of the laboratory.")
+@click.option("--settings", default="", type=click.Path(), help="A settings file in place of the script's.")
+@click.option("--ties", type=int, help="Shuffle what is due at the same moment, by this seed.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write a page with the result here.")
+@click.option("--json", "as_json", is_flag=True)
+def run(scenario: str, seed: int | None, record: str | None, live: bool, policy: str, settings: str,
+        ties: int | None, report: str | None, as_json: bool) -> None:
+    """Play SCENARIO (a day's script) in the simulated world, or with --live on sockets."""
+    if live:
+        from gevent import monkey
+        monkey.patch_all()
+    from hollyridge.cli.day import show
+    from hollyridge.lab.day import Day, DayError
+    from hollyridge.lab.page import write
+    from hollyridge.lab.policies import POLICIES
+    from hollyridge.lab.virtual import VirtualStage
+    script = load(scenario, settings)
+    if policy and policy not in POLICIES:
+        click.echo(f"--policy: one of {', '.join(POLICIES)}", err=True)
+        sys.exit(2)
+    if live:
+        from hollyridge.cli.day import play
+        sys.exit(play(scenario, report, seed, policy, as_json, "sasp"))
+    seed = script.day.seed if seed is None else seed
+    try:
+        outcome = Day(script, VirtualStage(script, policy, seed, ties, record), seed).play()
+    except DayError as trouble:
+        click.echo(f"the day could not be played: {trouble}", err=True)
+        sys.exit(2)
+    show(outcome, as_json, False)
+    if report:
+        Path(report).mkdir(parents=True, exist_ok=True)
+        click.echo(f"report: {write(Path(report), script, outcome)}", err=True)
+    sys.exit(0 if all(v.kept for v in outcome.verdicts) else 1)
+
+
+@lab.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("--days", multiple=True, required=True, type=click.Path(exists=True), help="A script; may be repeated.")
+@click.option("--seeds", default=20, show_default=True)
+@click.option("--figure", default="served", show_default=True, help="What is compared.")
+@click.option("--keep", type=click.Path(dir_okay=False), help="Results by day; an interrupted experiment goes on.")
+@click.option("--at-once", default=max(1, (os.cpu_count() or 2) - 1), show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def compare(a: str, b: str, days: tuple[str, ...], seeds: int, figure: str, keep: str | None, at_once: int,
+            as_json: bool) -> None:
+    """Play variants A and B on the same simulated days and seeds. A variant is `module`, another decision module of
+    the laboratory, a settings file (.ini), or commit:REV."""
+    from hollyridge.lab import experiment
+    from hollyridge.lab.policies import POLICIES
+    for name in (a, b):
+        if not (name.startswith("commit:") or name.endswith(".ini") or name in ("module", *POLICIES)):
+            click.echo(f"{name}: no such variant", err=True)
+            sys.exit(2)
+    with click.progressbar(length=2 * seeds * len(days), label="days", file=sys.stderr) as bar:
+        try:
+            told = experiment.compare(experiment.Variant(a), experiment.Variant(b), list(days), seeds,
+                                      Path(keep) if keep else None, at_once, lambda done, whole: bar.update(1), figure)
+        except (ValueError, KeyError) as trouble:
+            click.echo(f"cannot compare: {trouble}", err=True)
+            sys.exit(2)
+    if as_json:
+        click.echo(msgspec.json.encode(told))
+        return
+    for row in told["variants"]:
+        click.echo("  ".join(f"{key} {value}" for key, value in row.items() if value not in (None, [])))
+    gap = told["gap"]
+    click.echo(f"{b} less {a}, {figure}: {gap['mean']:+.4f} ({gap['low']:+.4f} to {gap['high']:+.4f}, 95% by bootstrap "
+               f"over {gap['pairs']} pairs); better on {gap['better']}, worse on {gap['worse']}; chance by signs "
+               f"{gap['chance']:.3f}" + ("; stopped early" if told["stopped_early"] else ""))
+
+
+@lab.command()
+@click.argument("script", type=click.Path())
+@click.option("--seeds", default=50, show_default=True, help="Days to draw.")
+@click.option("--first", default=1, show_default=True)
+@click.option("--most", default=5, show_default=True, help="Troubles in one day at most.")
+@click.option("--policy", default="", help="Another decision module of the laboratory.")
+@click.option("--out", type=click.Path(dir_okay=False), help="Write what is found here, as a script.")
+@click.option("--json", "as_json", is_flag=True)
+def hunt(script: str, seeds: int, first: int, most: int, policy: str, out: str | None, as_json: bool) -> None:
+    """Draw troubles by seed for the fleet and load of SCRIPT; keep the worst day, cut down to the fewest troubles."""
+    from hollyridge.lab import hunt as hunting
+    loaded = load(script)
+    with click.progressbar(length=seeds, label="days", file=sys.stderr) as bar:
+        found = hunting.hunt(loaded, range(first, first + seeds), policy, most, lambda seed, worst: bar.update(1))
+    if found is None:
+        click.echo("no day could be played", err=True)
+        sys.exit(2)
+    seed, worst, outcome = found
+    less, cut = hunting.cut_down(seed, worst, outcome, policy)
+    if out:
+        hunting.write(Path(out), seed, less, cut)
+    broken = [v.rule for v in cut.verdicts if not v.kept]
+    told = {"seed": seed, "served": cut.figures["served"], "broken": broken, "drawn": list(worst.troubles),
+            "needed": list(less.troubles), "nearest": {v.rule: v.nearest for v in cut.verdicts}}
+    click.echo(msgspec.json.encode(told) if as_json else "\n".join(f"{k}: {v}" for k, v in told.items()))
+    sys.exit(1 if broken else 0)
--- a/hollyridge/cli/main.py
+++ b/hollyridge/cli/main.py
@@ -9,6 +9,7 @@
 import click
 
 from hollyridge.cli import logs
+from hollyridge.cli.lab import lab
 from hollyridge.settings import assigner
 from hollyridge.settings.ini import FaultsError
 
@@ -97,5 +98,8 @@
     sys.exit(play(script, report, seed, policy, as_json, fronts))
 
 
+main.add_command(lab)
+
+
 if __name__ == "__main__":
     main()
--- a/hollyridge/lab/checker.py
+++ b/hollyridge/lab/checker.py
@@ -103,8 +103,9 @@
 class Evidence:
     """Recordings sorted out: what each proxy held when, who was joined when, what the assigner was told when."""
 
-    def __init__(self, rows: Iterable[dict]) -> None:
-        self.rows = list(rows)
+    def __init__(self, rows: Iterable[dict], tables: bool = False) -> None:
+        """With `tables`, every table that a proxy began to hold is kept."""
+        self.rows, self.keep = list(rows), tables
         self.told: dict[str, list[Told]] = defaultdict(list)
         self.joined: dict[str, list[list[int]]] = defaultdict(list)  # spans [from, till]
         self.empty: dict[tuple[str, str], list[list[int]]] = defaultdict(list)
@@ -161,7 +162,7 @@
                     held[who].take(message.groups, isinstance(message, codec.GetWeightsReply))
                     lines = sum(len(g.weights) for g in message.groups)
                     self.messages[who].append((row["t"], number, lines))
-                    for group, _ in message.groups:
+                    for group, _ in message.groups if self.keep else ():
                         self.tables.append(Seen(row["t"], who, group.name, "", number, {
                             name_of(m): float(e.weight) for m, e in held[who].lines(group.name).items()}))
                     for group in held[who].fresh:
@@ -191,8 +192,9 @@
         if changed:
             tables = listener.client.tables
             for method, some in tables.lines.items():
-                self.tables.append(Seen(row["t"], who, method, listener.client.wanted().get(method, "?"),
-                                        tables.versions[method], some))
+                if self.keep:
+                    self.tables.append(Seen(row["t"], who, method, listener.client.wanted().get(method, "?"),
+                                            tables.versions[method], some))
                 self.gap(who, method, not some, row["t"])
 
     def learn(self, at: int, message: codec.Message) -> None:
@@ -226,9 +228,8 @@
         return self.starts[index - 1] if index else -1
 
 
-def check(rows: Iterable[dict], figures: Figures) -> list[Verdict]:
+def check(seen: Evidence, figures: Figures) -> list[Verdict]:
     """One verdict a rule."""
-    seen = Evidence(rows)
     return [rule(seen, figures) for rule in (bare, twice, drains, cold, queue)]
 
 
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import NamedTuple
 
-from hollyridge.lab.checker import Figures, Verdict, check
+from hollyridge.lab.checker import Evidence, Figures, Verdict, check
 from hollyridge.lab.figures import figures_of
 from hollyridge.lab.parity import compare
 from hollyridge.lab.script import Script, TroubleSection
@@ -321,7 +321,8 @@
         for row in self.troubles:
             row["begun"], row["ended"] = ((row[key] - begun) / 1e6 for key in ("begun", "ended"))
         compared = compare(rows) if len(self.fronts) > 1 else (0, 0, "")
-        return Outcome(check(rows, self.figures()), figures_of(rows, self.methods()), self.troubles, compared)
+        seen = Evidence(rows)
+        return Outcome(check(seen, self.figures()), figures_of(seen, self.methods()), self.troubles, compared)
 
     def methods(self) -> list[dict]:
         return [dict(name=name, criticality=m.criticality, soft_us=m.soft_deadline_ms * 1e3,
--- a/hollyridge/lab/figures.py
+++ b/hollyridge/lab/figures.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
 
 from hollyridge.lab.checker import Evidence
 
 LATE_WORTH = 0.1  # of the criticality, for an answer after the soft deadline but in time for the client
 
 
-def figures_of(rows: Iterable[dict], methods: list[dict]) -> dict:
+def figures_of(seen: Evidence, methods: list[dict]) -> dict:
     """`methods`: name, criticality, soft_us, deadline_us by method, in order."""
-    rows = list(rows)
+    rows = seen.rows
     earned: dict[int, float] = defaultdict(float)
     asked: dict[int, float] = defaultdict(float)
     by_time: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
@@ -33,7 +32,6 @@
     seconds = sorted(by_time)
     runs = [[by_time[s] for s in seconds[i:i + 10]] for i in range(max(1, len(seconds) - 9))]
     windows = [sum(got for got, _ in run) / max(sum(worth for _, worth in run), 1e-9) for run in runs]
-    seen = Evidence(rows)
     numbers = {(seen.assigner_since(at), number) for some in seen.messages.values() for at, number, _ in some}
     return {
         "rpcs": sum(1 for row in rows if row["k"] == "done"), "ok": ok, "tries": tries,
--- a/hollyridge/lab/parity.py
+++ b/hollyridge/lab/parity.py
@@ -18,7 +18,7 @@
     A table that came by SASP is held against the same version of a table that a proxy of its zone went by for that
     method by pub-sub: the newest that is not newer than the decision it came with. Tasks that were closed by then
     are left out on both sides, since each front drops them from the moment it writes."""
-    seen = Evidence(rows)
+    seen = Evidence(rows, tables=True)
     known: dict[tuple, list[tuple[int, Seen]]] = defaultdict(list)
     sources: dict[tuple, set] = defaultdict(set)
     for row in seen.tables:
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -75,8 +75,9 @@
         self.troubles, self.overrides, self.terms = troubles, overrides, terms
 
 
-def load(path: Path | str) -> Script:
-    """Read and check a script and the settings it names. Raises FaultsError with all that is wrong."""
+def load(path: Path | str, settings: str = "") -> Script:
+    """Read and check a script and the settings it names, or `settings` in their place. Raises FaultsError with all
+    that is wrong."""
     path = Path(path)
     parser, faults = read_file(path), []
     found, troubles, overrides = {}, {}, {}
@@ -97,7 +98,7 @@
     terms = None
     if found["day"] is not None:
         try:
-            terms = assigner.load(path.parent / found["day"].settings, overrides)
+            terms = assigner.load(settings or path.parent / found["day"].settings, overrides)
         except FaultsError as trouble:
             faults += [f"{found['day'].settings}: {fault}" for fault in trouble.faults]
     if terms is not None and found["load"] is not None:
--- a/hollyridge/sasp/codec.py
+++ b/hollyridge/sasp/codec.py
@@ -15,6 +15,7 @@
 import struct
 from collections.abc import Callable, Iterator
 from enum import IntEnum, IntFlag
+from functools import lru_cache
 from typing import NamedTuple, Union
 
 PORT = 3860
@@ -73,6 +74,12 @@
         self.reply = reply
 
 
+@lru_cache(maxsize=65536)
+def _host(address: bytes) -> str:
+    ip = ipaddress.IPv6Address(address)
+    return str(ip.ipv4_mapped or ip)
+
+
 class Member(NamedTuple):
     """A task's address. `protocol` is the IP protocol number (6: TCP), `address` 16 bytes, IPv4 mapped."""
 
@@ -96,8 +103,7 @@
 
     @property
     def host(self) -> str:
-        ip = ipaddress.IPv6Address(self.address)
-        return str(ip.ipv4_mapped or ip)
+        return _host(self.address)
 
     @property
     def key(self) -> tuple[bytes, int, int]:
