--- a/hollyridge/lab/house.py
+++ b/hollyridge/lab/house.py
@@ -13,6 +13,7 @@
 import msgspec  # noqa: E402
 from gevent.fileobject import FileObject  # noqa: E402
 
+from hollyridge.lab.cast import Cast  # noqa: E402
 from hollyridge.lab.physics import Build  # noqa: E402
 from hollyridge.lab.proxy import Proxy  # noqa: E402
 from hollyridge.lab.record import Recorder  # noqa: E402
@@ -20,7 +21,7 @@
 from hollyridge.lab.world import LiveWorld  # noqa: E402
 
 
-class House:
+class House(Cast):
     def __init__(self, path: str) -> None:
         self.record, self.world = Recorder(path), LiveWorld()
         self.tasks: dict[str, TaskServer] = {}
@@ -31,9 +32,8 @@
         sys.stdout.buffer.write(msgspec.json.encode(facts) + b"\n")
         sys.stdout.buffer.flush()
 
-    def obey(self, order: dict) -> None:
-        do = order.pop("do")
-        getattr(self, "do_" + do)(**order)
+    def bodies(self) -> list[Task]:
+        return [server.task for server in self.tasks.values()]
 
     def do_task(self, name: str, host: str, port: int, run: str, build: dict, cold: bool, kinds: list, window: list,
                 seed: int) -> None:
@@ -46,35 +46,12 @@
     def do_proxy(self, uid: str, **terms) -> None:
         self.proxies[uid] = Proxy(self.world, uid, record=self.record, **terms)
 
-    def do_kill(self, name: str) -> None:
-        if name in self.tasks:
-            self.tasks.pop(name).stop("killed")
-        if name in self.proxies:
-            self.proxies.pop(name).stop()
-
-    def do_set(self, name: str, **what) -> None:
-        """Attributes of one stand-in, or of all for an empty name."""
-        for one in [*(server.task for server in self.tasks.values()), *self.proxies.values()]:
-            key = one.name if isinstance(one, Task) else one.uid
-            if name in ("", key):
-                for attribute, value in what.items():
-                    if hasattr(one, attribute):
-                        setattr(one, attribute, set(value) if attribute == "cut" else value)
-
-    def do_pause(self, name: str, seconds: float) -> None:
-        if name in self.tasks:
-            self.tasks[name].task.pause(seconds)
-
-    def do_break(self, name: str) -> None:
-        for proxy in self.proxies.values():
-            if name in ("", proxy.uid):
-                proxy.hang_up()
-
 
 def main() -> None:
     house = House(sys.argv[1])
     for line in FileObject(sys.stdin.buffer, "rb"):
-        house.obey(msgspec.json.decode(line))
+        order = msgspec.json.decode(line)
+        house.do(order.pop("do"), **order)
     for one in house.proxies.values():
         one.down = True
     gevent.sleep(0.01)
--- a/hollyridge/lab/virtual.py
+++ b/hollyridge/lab/virtual.py
@@ -14,6 +14,7 @@
 from hollyridge.client.surface import Gateway
 from hollyridge.lab import rpc
 from hollyridge.lab.agent import Agent
+from hollyridge.lab.cast import Cast
 from hollyridge.lab.day import Day, DayError
 from hollyridge.lab.physics import Build
 from hollyridge.lab.policies import POLICIES
@@ -256,7 +257,7 @@
         self.stage.report(self.uid, figures)
 
 
-class VirtualHouse:
+class VirtualHouse(Cast):
     """Houses as the day speaks to them, all in this process."""
 
     def __init__(self, stage: VirtualStage, heard: Callable[[dict], None]) -> None:
@@ -265,9 +266,6 @@
         self.proxies: dict[str, VirtualProxy] = {}
         self.effects: dict[str, int] = {}
 
-    def do(self, what: str, **terms) -> None:
-        getattr(self, "do_" + what)(**terms)
-
     def do_task(self, name: str, host: str, port: int, run: str, build: dict, **terms) -> None:
         self.stage.port += not port
         key = f"{host}:{port or self.stage.port}"
@@ -279,28 +277,6 @@
     def do_proxy(self, **terms) -> None:
         self.proxies[terms["uid"]] = VirtualProxy(self.stage, **terms)
 
-    def do_kill(self, name: str) -> None:
-        if name in self.tasks:
-            self.tasks.pop(name).stop("killed")
-        if name in self.proxies:
-            self.proxies.pop(name).stop()
-
-    def do_set(self, name: str, **what) -> None:
-        for one in [*self.tasks.values(), *self.proxies.values()]:
-            if name in ("", one.name if isinstance(one, Task) else one.uid):
-                for attribute, value in what.items():
-                    if hasattr(one, attribute):
-                        setattr(one, attribute, set(value) if attribute == "cut" else value)
-
-    def do_pause(self, name: str, seconds: float) -> None:
-        if name in self.tasks:
-            self.tasks[name].pause(seconds)
-
-    def do_break(self, name: str) -> None:
-        for proxy in list(self.proxies.values()):
-            if name in ("", proxy.uid):
-                proxy.hang_up()
-
 
 class VirtualRegistrar(Registrar):
     """The agent's stream: requests are taken and answered at once."""
