--- a/hollyridge/cli/lab.py
+++ b/hollyridge/cli/lab.py
@@ -130,3 +130,18 @@
             "needed": list(less.troubles), "nearest": {v.rule: v.nearest for v in cut.verdicts}}
     click.echo(msgspec.json.encode(told) if as_json else "\n".join(f"{k}: {v}" for k, v in told.items()))
     sys.exit(1 if broken else 0)
+
+
+@lab.command()
+@click.argument("source", type=click.Path(exists=True))
+@click.option("--out", default="report", show_default=True, type=click.Path(file_okay=False))
+@click.option("--json", "as_json", is_flag=True)
+def report(source: str, out: str, as_json: bool) -> None:
+    """A page with plots of SOURCE: a recording, the folder of a day's recordings, or the kept file of a comparison."""
+    from hollyridge.lab.plots import page_of
+    try:
+        page = page_of(Path(source), Path(out))
+    except (ValueError, KeyError) as trouble:
+        click.echo(f"{source}: {trouble}", err=True)
+        sys.exit(2)
+    click.echo(msgspec.json.encode({"page": str(page)}) if as_json else str(page))
