--- a/hollyridge/lab/figures.py
+++ b/hollyridge/lab/figures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from itertools import takewhile
 
 from hollyridge.lab.checker import Evidence
 
@@ -42,6 +43,38 @@
         "decisions_sent": len(numbers),
         "messages": sum(map(len, seen.messages.values())),
         "lines": sum(lines for some in seen.messages.values() for _, _, lines in some),
+        **times(seen, by_time),
         "fell": sum(row["k"] == "fell" for row in rows),
         "timeline": [[s - seconds[0], round(by_time[s][0] / max(by_time[s][1], 1e-9), 4)] for s in seconds],
     }
+
+
+def times(seen: Evidence, by_time: dict[int, list[float]]) -> dict:
+    """Seconds from the word that a task closes to the last try that was sent to it: median and worst over tasks that
+    stayed closed (`drains`); and, for each trouble, how many seconds after its
+    start three seconds together were last under nine tenths of the ten before it, within half a minute (`recovered_s`;
+    0: never)."""
+    last: dict[str, int] = defaultdict(int)
+    for row in seen.rows:
+        if row["k"] == "try":
+            last[row["task"]] = row["t"]
+    spans = []
+    for task, past in seen.told.items():
+        closed = list(takewhile(lambda told: told.state != "ready", reversed(past)))
+        if closed:  # since the first word of it: draining comes before gone
+            spans.append(max(0, last[task] - closed[-1].at) / 1e6)
+    spans.sort()
+    recovered = {}
+    for row in seen.rows:
+        if row["k"] == "trouble" and row["begins"]:
+            second = row["t"] // 1_000_000
+
+            def part(first: int, count: int) -> float:
+                some = [by_time[s] for s in range(first, first + count) if s in by_time]
+                return sum(got for got, _ in some) / max(sum(worth for _, worth in some), 1e-9)
+            before = part(second - 10, 10) or 1.0
+            low = [s for s in range(second, min(second + 30, max(by_time, default=0) - 2))
+                   if part(s, 3) < 0.9 * before]
+            recovered[row["name"]] = low[-1] - second + 1 if low else 0
+    return {"drains": {"closings": len(spans), "median_s": round(spans[len(spans) // 2], 3) if spans else None,
+                       "worst_s": round(spans[-1], 3) if spans else None}, "recovered_s": recovered}
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -143,6 +143,14 @@
     assert len(experiment.read(keep)) >= 4
 
 
+def test_times_of_a_day():
+    told = outcome().figures
+    assert told["drains"]["closings"] == 3 and 0 <= told["drains"]["median_s"] <= told["drains"]["worst_s"] < 3
+    assert set(told["recovered_s"]) == {"release", "streams", "hang"}
+    slow = outcome(policy="deaf").figures
+    assert slow["drains"]["worst_s"] > told["drains"]["worst_s"]
+
+
 def test_gaps():
     assert not experiment.gap_of([0.1, -0.1] * 10).clear
     assert experiment.gap_of([0.1] * 12)[1:4] == (0.1, 0.1, 0.1)
