One check of listen addresses for both sections; two unused names removed

Need: a last read: the same validator stood in two settings sections; a constant and an attribute were read by nothing. Change: the Listen type; behaviour and messages as before.

--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -22,7 +22,6 @@
     def __init__(self, task: str) -> None:
         self.task, self.sock, self.number = task, None, 0
         self.waiting: dict[int, AsyncResult] = {}
-        self.dialling = None
 
     def dial(self, timeout: float) -> bool:
         if self.sock is not None:
--- a/hollyridge/sasp/codec.py
+++ b/hollyridge/sasp/codec.py
@@ -24,7 +24,6 @@
 MEMBER_TYPE, GROUP_TYPE, WEIGHT_TYPE, STATE_TYPE = 0x3010, 0x3011, 0x3012, 0x3013
 MEMBERS_OF_TYPE, WEIGHTS_OF_TYPE, STATES_OF_TYPE = 0x4010, 0x4011, 0x4012
 BY_BALANCER = 0x01  # in requests about members: a load balancer speaks, not the member or its agent
-WHOLE_WEIGHT = 0xFFFF
 HEADER = struct.Struct(">HHBII")
 _PART = struct.Struct(">HH")
 _MEMBER = struct.Struct(">BH16sB")
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import Field, PositiveFloat, PositiveInt, field_validator
+from pydantic import AfterValidator, Field, PositiveFloat, PositiveInt, field_validator
 
 from hollyridge import interface as api
 from hollyridge.clone.front import CloneTerms
@@ -20,6 +20,12 @@
 from hollyridge.steering.advice import shown_methods
 from hollyridge.steering.members import Terms
 
+def listens(value: str) -> str:
+    split(value)
+    return value
+
+
+Listen = Annotated[str, AfterValidator(listens)]
 Part = Annotated[float, Field(gt=0, le=1)]
 NotNegative = Annotated[float, Field(ge=0)]
 
@@ -75,7 +81,7 @@
 
 
 class SaspSection(Section):
-    listen: str = "127.0.0.1:3860"
+    listen: Listen = "127.0.0.1:3860"
     fleet: Annotated[str, Field(min_length=1, max_length=64)] = "fleet"
     members_group: Annotated[str, Field(min_length=1, max_length=64)] = "tasks"
     balancers_register: bool = False
@@ -89,15 +95,9 @@
     hello_s: PositiveFloat = 10
     members_each: PositiveInt = 5000
 
-    @field_validator("listen")
-    @classmethod
-    def listens(cls, value: str) -> str:
-        split(value)
-        return value
-
 
 class OtlpSection(Section):
-    listen: str = "127.0.0.1:4318"
+    listen: Listen = "127.0.0.1:4318"
     body_most_bytes: Annotated[int, Field(ge=1024, le=1 << 26)] = 1 << 20
     body_s: PositiveFloat = 5
     connections_most: PositiveInt = 1000
@@ -107,12 +107,6 @@
     rate_most: PositiveFloat = 1e6
     lines_per_period: PositiveInt = 2000
 
-    @field_validator("listen")
-    @classmethod
-    def listens(cls, value: str) -> str:
-        split(value)
-        return value
-
 
 class CloneSection(Section):
     """The pub-sub front; `listen` is the first of three ports, empty for none."""
