--- a/hollyridge/client/surface.py
+++ b/hollyridge/client/surface.py
@@ -109,8 +109,8 @@
         while not self.stopped:
             self.sessions += 1
             begun = time.monotonic()
-            self.watch(True)
             try:
+                self.watch(True)
                 self.session()
                 self.trouble = "closed"
             except Exception as trouble:  # whatever it is, what is held is used and the stream dialled again
--- a/hollyridge/core/loop.py
+++ b/hollyridge/core/loop.py
@@ -10,9 +10,12 @@
 from hollyridge.core.machine import Machine
 
 
+CLOCK_ABOVE = 1_000_000_000  # us above the system's monotonic clock: 0 is read as long past
+
+
 def monotonic_us() -> int:
-    """Microseconds of a clock that never steps; starts well above 0, which the module reads as long past."""
-    return time.monotonic_ns() // 1000 + 1_000_000_000
+    """Microseconds of a clock that never steps."""
+    return time.monotonic_ns() // 1000 + CLOCK_ABOVE
 
 
 class Loop:
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -76,7 +76,7 @@
         self.trail: deque[tuple[int, api.Event]] = deque(maxlen=TRAIL)
         self.failures: deque[int] = deque()
         self.number = 0
-        self.started = False
+        self.started, self.ran_at = False, now
         self.gather_at = now + boot.period
         self.refused: dict[str, int] = {}
         self.counts = dict.fromkeys(("decisions", "orders", "messages", "events", "events_dropped", "wakes_dropped",
@@ -161,6 +161,7 @@
 
     def run(self, now: int) -> int:
         """Do all that is due; returns when to be called next, sooner if something comes in. Raises ModuleError."""
+        self.ran_at = now
         due = self.members.next_at(now)
         if due is not None and (due <= now or not self.members.settled):
             self.happened(now, members.Tick())
@@ -274,9 +275,10 @@
     def status(self) -> dict:
         """Counts and levels for logs and the status page."""
         took = self.latency
-        return {**self.counts, "refused": self.refused, "waiting": round(self.channel.waiting),
-                "waiting_most": self.channel.highest, "merged": self.channel.merged,
-                "over_limit": self.channel.over, "lost_lines": self.channel.lost_lines,
+        figures = getattr(self.module, "figures", dict)()
+        return {"at": self.ran_at, "module": figures, **self.counts, "refused": self.refused,
+                "waiting": round(self.channel.waiting), "waiting_most": self.channel.highest,
+                "merged": self.channel.merged, "over_limit": self.channel.over, "lost_lines": self.channel.lost_lines,
                 "proxies": len(self.fronts), "tasks": len(self.members.rows),
                 "restarts": self.members.restarts, "returns": self.members.returns,
                 "lapsed": self.members.lapsed, "turned_down": self.news.turned_down,
--- a/hollyridge/lab/cast.py
+++ b/hollyridge/lab/cast.py
@@ -34,10 +34,19 @@
                     if hasattr(one, attribute):
                         setattr(one, attribute, set(value) if attribute == "cut" else value)
 
+    def do_factor(self, name: str, cause: str, value: float) -> None:
+        """What a trouble makes of the RPCs of one proxy, or of all: times so many; troubles multiply."""
+        for proxy in self.proxies.values():
+            if name in ("", proxy.uid):
+                proxy.factors[cause] = value
+
     def do_pause(self, name: str, seconds: float) -> None:
         for task in self.bodies():
             if task.name == name:
                 task.pause(seconds)
+        for proxy in self.proxies.values():
+            if proxy.uid == name:
+                proxy.stalled_until = proxy.world.now() + round(seconds * 1e6)
 
     def do_break(self, name: str) -> None:
         """End the stream to the assigner, of one proxy or of all."""
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -84,8 +84,8 @@
             unit.up = False
             self.world.later(self.notice(), self.agent.gone, unit.key, unit.run)
 
-    def notice(self) -> float:
-        low, high = self.script.day.notice_ms
+    def notice(self, silent: bool = False) -> float:
+        low, high = self.script.day.silent_notice_ms if silent else self.script.day.notice_ms
         return self.rng.uniform(low, high) / 1e3
 
     def run_task(self, unit: Unit, cold: bool) -> None:
@@ -99,7 +99,8 @@
                      slots=fleet.slots, queue=fleet.queue, cold_from=fleet.cold_from,
                      cold_us=round(fleet.cold_s * 1e6), fall_multiple=promises.fall_multiple,
                      fall_us=round(promises.fall_s * 1e6), handshake_us=round(fleet.handshake_ms * 1e3),
-                     connections=fleet.connections)
+                     connections=fleet.connections, cache_us=round(fleet.cache_s * 1e6),
+                     cache_keys=fleet.cache_keys, cache_gain=fleet.cache_gain)
         self.task_houses[unit.zone].do(
             "task", name=unit.name, host=unit.host, port=unit.port, run=unit.run, build=build, cold=cold,
             kinds=[m.repeats for m in methods], window=[round(m.window_ms * 1e3) for m in methods],
@@ -153,8 +154,9 @@
                         work_us=load.work_ms[k] * 1e3, deadline_us=m.deadline_ms * 1e3)
                    for k, (name, m) in enumerate(terms.methods.items())]
         return dict(methods=methods, front=front, **self.stage.addresses,
-                    pick=terms.proxies.pick, outlier_after=terms.proxies.outlier_after, apply_us=40,
-                    client_retries=load.client_retries, reckless=load.reckless, try_share=load.try_share,
+                    pick=terms.proxies.pick, outlier_after=terms.proxies.outlier_after,
+                    apply_us=self.script.net.apply_us, lost=self.script.net.lost, client_retries=load.client_retries,
+                    reckless=load.reckless, try_share=load.try_share, keys=load.keys, zipf=load.zipf,
                     period_us=terms.assigner.report_period_s * 1e6)
 
     # The troubles.
@@ -186,29 +188,123 @@
             self.agent.gone(unit.key, unit.run)
 
     def zone_lost(self, trouble: TroubleSection) -> None:
-        lost = self.standing_units(self.zone_of(trouble))
-        for unit in lost:
-            self.stop_task(unit)
-            self.world.later(self.notice(), self.agent.gone, unit.key, unit.run)
+        """Its tasks die and come back cold; `all`: they fall silent, and its proxies die with them."""
+        zone, every = self.zone_of(trouble), trouble.form == "all"
+        lost = self.standing_units(zone)
+        proxies = [uid for uid, z in self.proxies.items() if every and self.zones[z] == zone]
+        self.drop_proxies(proxies)
+        self.go_dark(lost, every)
         self.world.sleep(trouble.for_s)
-        for unit in lost:
+        self.come_back(lost)
+        self.raise_proxies(proxies)
+
+    def go_dark(self, units: list[Unit], silent: bool) -> None:
+        for unit in units:
+            if silent and unit.up:
+                self.task_houses[unit.zone].do("set", name=unit.name, silent=True)
+            else:
+                self.stop_task(unit)
+            self.world.later(self.notice(silent), self.agent.gone, unit.key, unit.run)
+
+    def come_back(self, units: list[Unit]) -> None:
+        """Each cold, at its old address."""
+        for unit in units:
+            self.stop_task(unit)
             self.run_task(unit, cold=True)
             self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
 
+    def vanish(self, trouble: TroubleSection) -> None:
+        """Machines go silent: no answer, no reset connection."""
+        lost = self.some(self.standing_units(trouble.zone), trouble.part)
+        self.go_dark(lost, True)
+        self.world.sleep(trouble.for_s)
+        self.come_back(lost)
+
+    def ageing(self, trouble: TroubleSection) -> None:
+        """Slower and slower, `size` times at the end; then they die and come back cold after `extra` seconds."""
+        units = self.some(self.standing_units(trouble.zone), trouble.part)
+        steps = max(1, round(trouble.for_s * 2))
+        for step in range(1, steps + 1):
+            self.world.sleep(trouble.for_s / steps)
+            for unit in units:
+                if unit.up:
+                    self.task_houses[unit.zone].do("set", name=unit.name, slow=1 + (trouble.size - 1) * step / steps)
+        units = [unit for unit in units if unit.up]
+        self.go_dark(units, False)
+        self.world.sleep(trouble.extra)
+        self.come_back(units)
+
+    def grow(self, trouble: TroubleSection) -> None:
+        """The fleet grows to `size` times as many within the time, new ones cold; `extra` of it in traffic follows."""
+        count = max(1, round((trouble.size - 1) * len(self.standing_units())))
+        for made in range(1, count + 1):
+            unit = self.new_unit(made % len(self.zones), cold=True)
+            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.scale(trouble, 1 + (trouble.size - 1) * trouble.extra * made / count)
+            self.world.sleep(trouble.for_s / count)
+
+    def scale(self, trouble: TroubleSection, value: float, zone: int = -1) -> None:
+        """RPCs of the proxies of one zone, or of all, times so many by this trouble."""
+        for at, house in enumerate(self.proxy_houses):
+            if zone in (-1, at):
+                house.do("factor", name="", cause=f"{trouble.kind}-{trouble.at_s}", value=value)
+
+    def shift(self, trouble: TroubleSection) -> None:
+        """`size` of the traffic of the other zones moves to one zone, for good."""
+        zone = self.zones.index(self.zone_of(trouble))
+        rates = [0.0] * len(self.zones)
+        for uid, at in self.proxies.items():
+            rates[at] += self.proxy_terms[uid]["rate"]
+        steps = 8
+        for step in range(1, steps + 1):
+            moved = trouble.size * step / steps
+            for at, rate in enumerate(rates):
+                self.scale(trouble, 1 + moved * (sum(rates) - rate) / rate if at == zone else 1 - moved, at)
+            self.world.sleep(trouble.for_s / steps)
+
     def restart_in_place(self, trouble: TroubleSection) -> None:
         """Killed and back under the same address before the agent has noticed."""
         for unit in self.some(self.standing_units(), trouble.part):
             self.stop_task(unit)
             self.world.sleep(0.2)
-            self.run_task(unit, cold=True)
-            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.come_back([unit])
+
+    def octet(self, zone: int) -> str:
+        return self.address(zone, 1).split(".")[1]
+
+    def links(self, zone: int, others: list[int]) -> list[tuple[object, list[str]]]:
+        """Houses of proxies with what is at the far end of their links, between a zone and others."""
+        return [(self.proxy_houses[zone], [self.octet(z) for z in others]),
+                *((self.proxy_houses[z], [self.octet(zone)]) for z in others)]
 
     def zone_cut(self, trouble: TroubleSection) -> None:
-        """Tasks of one zone can't be reached from the others; streams and reports go on."""
+        """Tasks of one zone can't be reached from the others; `all`: nor the other way round, and the streams of the
+        zone's proxies break and stay so."""
         zone = self.zones.index(self.zone_of(trouble))
-        octet = self.address(zone, 1).split(".")[1]
-        others = [house for z, house in enumerate(self.proxy_houses) if z != zone]
-        self.for_a_while(trouble, others, "", cut=[octet], after={"cut": []})
+        others = [z for z in range(len(self.zones)) if z != zone]
+        ways = self.links(zone, others)
+        for house, ends in ways if trouble.form == "all" else ways[1:]:
+            house.do("set", name="", cut=ends)
+        if trouble.form == "all":
+            self.proxy_houses[zone].do("set", name="", away=True)
+            self.proxy_houses[zone].do("break", name="")
+        self.world.sleep(trouble.for_s)
+        for house, _ in ways:
+            house.do("set", name="", cut=[])
+        self.proxy_houses[zone].do("set", name="", away=False)
+
+    def slow_link(self, trouble: TroubleSection) -> None:
+        """`size` seconds more each way and `extra` of what is sent lost, between one zone and all others or one."""
+        zone = self.zones.index(self.zone_of(trouble))
+        others = [z for z in range(len(self.zones)) if z != zone]
+        if trouble.form == "pair":
+            others = self.rng.sample(others, min(1, len(others)))
+        ways = self.links(zone, others)
+        for house, ends in ways:
+            house.do("set", name="", links={end: [trouble.size, trouble.extra] for end in ends})
+        self.world.sleep(trouble.for_s)
+        for house, _ in ways:
+            house.do("set", name="", links={})
 
     def for_a_while(self, trouble: TroubleSection, houses: list, name: str, after: dict, **what) -> None:
         for house in houses:
@@ -247,6 +343,21 @@
     def errors(self, trouble: TroubleSection) -> None:
         self.at_tasks(trouble, {"errors": 0.0}, errors=trouble.size)
 
+    def method_fails(self, trouble: TroubleSection) -> None:
+        """One method's RPCs fail or are left unanswered there; the others are served as usual."""
+        names = list(self.terms.methods)
+        method = names.index(trouble.method) if trouble.method else self.rng.randrange(len(names))
+        self.at_tasks(trouble, {"fails": []}, fails=[method, trouble.size, trouble.form == "silence"])
+
+    def handshake_slow(self, trouble: TroubleSection) -> None:
+        """New connections take `size` seconds more and `extra` times the work."""
+        self.at_tasks(trouble, {"handshake": 1.0, "dial_s": 0.0}, handshake=trouble.extra, dial_s=trouble.size)
+
+    def false_loads(self, trouble: TroubleSection) -> None:
+        """They tell `size` of their load and are `extra` times slower; `busy`: they tell that they are full."""
+        slow = 1.0 if trouble.form == "busy" else max(1.0, trouble.extra)
+        self.at_tasks(trouble, {"lie": [], "slow": 1.0}, lie=[trouble.form, trouble.size], slow=slow)
+
     def pauses(self, trouble: TroubleSection) -> None:
         until = self.world.now() + trouble.for_s * 1e6
         units = self.some(self.standing_units(trouble.zone), trouble.part)
@@ -264,12 +375,38 @@
         self.for_a_while(trouble, self.proxy_houses, "", {"late": 0.0}, late=trouble.size)
 
     def surge(self, trouble: TroubleSection) -> None:
-        self.for_a_while(trouble, self.proxy_houses, "", {"factor": 1.0}, factor=trouble.size)
+        self.scale(trouble, trouble.size)
+        self.world.sleep(trouble.for_s)
+        self.scale(trouble, 1.0)
 
     def unread(self, trouble: TroubleSection) -> None:
         """Some proxies read nothing from their streams, which stay open."""
-        for uid in self.some(list(self.proxies), trouble.part):
-            self.for_a_while(trouble, [self.proxy_houses[self.proxies[uid]]], uid, {"deaf": False}, deaf=True)
+        self.together([(partial(self.for_a_while, deaf=True), trouble, [self.proxy_houses[self.proxies[uid]]], uid,
+                        {"deaf": False}) for uid in self.some(list(self.proxies), trouble.part)])
+
+    def slow_orders(self, trouble: TroubleSection) -> None:
+        """Each message of orders takes `size` seconds to be read."""
+        self.for_a_while(trouble, self.proxy_houses, "", {"slow_orders": 0.0}, slow_orders=trouble.size)
+
+    def proxies_stalled(self, trouble: TroubleSection) -> None:
+        """No turn for `size` seconds, again every `extra`, then all that came at once."""
+        until = self.world.now() + trouble.for_s * 1e6
+        if trouble.form == "zone":
+            zone = self.zones.index(self.zone_of(trouble))
+            uids = [uid for uid, at in self.proxies.items() if at == zone]
+        else:
+            uids = self.some(list(self.proxies), trouble.part)
+        while self.world.now() < until:
+            for uid in uids:
+                self.proxy_houses[self.proxies[uid]].do("pause", name=uid, seconds=trouble.size)
+            self.world.sleep(trouble.size + max(0.1, trouble.extra))
+
+    def assigner_stalled(self, trouble: TroubleSection) -> None:
+        """It stands still for `size` seconds, again every `extra`; its sockets stay open."""
+        until = self.world.now() + trouble.for_s * 1e6
+        while self.world.now() < until:
+            self.stage.stall_assigner(trouble.size)
+            self.world.sleep(max(0.1, trouble.extra))
 
     def assigner_killed(self, trouble: TroubleSection) -> None:
         self.kill_assigner()
@@ -278,10 +415,16 @@
 
     def proxies_killed(self, trouble: TroubleSection) -> None:
         killed = self.some(list(self.proxies), trouble.part)
-        for uid in killed:
-            self.proxy_houses[self.proxies[uid]].do("kill", name=uid)
+        self.drop_proxies(killed)
         self.world.sleep(trouble.for_s)
-        for uid in killed:  # it comes back with a standing table of what is listed now
+        self.raise_proxies(killed)
+
+    def drop_proxies(self, uids: list[str]) -> None:
+        for uid in uids:
+            self.proxy_houses[self.proxies[uid]].do("kill", name=uid)
+
+    def raise_proxies(self, uids: list[str]) -> None:
+        for uid in uids:  # it comes back with a standing table of what is listed now
             zone = self.proxies[uid]
             home = [key for key, known in self.agent.told.items() if not known.draining]
             near = [key for key in home if self.zones[zone] == self.zones[self.zone_at(key)]] or home
--- a/hollyridge/lab/hunt.py
+++ b/hollyridge/lab/hunt.py
@@ -8,17 +8,23 @@
 from random import Random
 
 from hollyridge.lab.day import Day, DayError, Outcome
-from hollyridge.lab.script import Script, TroubleSection
+from hollyridge.lab.script import KINDS, Script, TroubleSection
 from hollyridge.lab.virtual import VirtualStage
 
 RANGES = {
-    # kind: for_s, part, size; each from and to
-    "release": ((6, 20), (0.3, 0.99), (1, 1)), "zone_lost": ((5, 20), (1, 1), (1, 1)),
-    "zone_cut": ((5, 15), (1, 1), (1, 1)), "hang": ((5, 20), (0.05, 0.25), (1, 1)),
-    "errors": ((5, 20), (0.05, 0.25), (0.35, 0.99)), "pauses": ((8, 25), (0.1, 0.45), (0.1, 0.45)),
-    "streams_broken": ((0, 0), (0.2, 1), (1, 1)), "late_sums": ((8, 20), (1, 1), (2, 5)),
-    "surge": ((4, 10), (1, 1), (1.2, 1.9)), "assigner_killed": ((1, 6), (1, 1), (1, 1)),
-    "proxies_killed": ((1, 5), (0.1, 0.6), (1, 1)), "restart_in_place": ((0, 0), (0.1, 0.4), (1, 1)),
+    # kind: for_s, part, size, extra; each from and to
+    "release": ((6, 20), (0.3, 0.99), (1, 1), (1, 1)), "restart_in_place": ((0, 0), (0.1, 0.4), (1, 1), (1, 1)),
+    "vanish": ((5, 20), (0.05, 0.2), (1, 1), (1, 1)), "hang": ((5, 20), (0.05, 0.25), (1, 1), (1, 1)),
+    "errors": ((5, 20), (0.05, 0.25), (0.35, 0.99), (1, 1)), "pauses": ((8, 25), (0.1, 0.45), (0.1, 0.45), (1, 1)),
+    "ageing": ((10, 25), (0.1, 0.4), (5, 16), (2, 6)), "method_fails": ((8, 25), (0.2, 0.55), (0.6, 1), (1, 1)),
+    "handshake_slow": ((8, 25), (0.5, 1), (0.08, 0.4), (2, 10)), "grow": ((5, 20), (1, 1), (1.5, 2.5), (0.5, 1)),
+    "surge": ((4, 10), (1, 1), (1.2, 1.9), (1, 1)), "shift": ((1, 8), (1, 1), (0.35, 0.75), (1, 1)),
+    "false_loads": ((8, 25), (0.1, 0.3), (0.05, 0.4), (1.5, 2.5)), "late_sums": ((8, 20), (1, 1), (2, 5), (1, 1)),
+    "zone_lost": ((5, 20), (1, 1), (1, 1), (1, 1)), "zone_cut": ((5, 15), (1, 1), (1, 1), (1, 1)),
+    "slow_link": ((8, 25), (1, 1), (0.1, 0.4), (0.05, 0.3)), "streams_broken": ((0, 0), (0.2, 1), (1, 1), (1, 1)),
+    "slow_orders": ((5, 20), (1, 1), (0.1, 0.6), (1, 1)), "proxies_killed": ((1, 5), (0.1, 0.6), (1, 1), (1, 1)),
+    "proxies_stalled": ((8, 25), (0.3, 0.9), (0.3, 2), (2, 4)), "assigner_killed": ((1, 6), (1, 1), (1, 1), (1, 1)),
+    "assigner_stalled": ((8, 25), (1, 1), (0.3, 2), (2, 4)),
 }
 
 
@@ -26,15 +32,17 @@
     """Some troubles that begin in the first three quarters of the day."""
     troubles = {}
     for at, kind in enumerate(rng.sample(sorted(RANGES), rng.randint(1, most))):
-        spans, parts, sizes = RANGES[kind]
+        spans, parts, sizes, extras = RANGES[kind]
         troubles[f"{kind}-{at}"] = TroubleSection(
             kind=kind, at_s=round(rng.uniform(1, 0.75 * length), 2), for_s=round(rng.uniform(*spans), 2),
-            part=round(rng.uniform(*parts), 3), size=round(rng.uniform(*sizes), 3))
+            part=round(rng.uniform(*parts), 3), size=round(rng.uniform(*sizes), 3),
+            extra=round(rng.uniform(*extras), 3), how=rng.choice(KINDS[kind] or ("",)))
     return troubles
 
 
 def with_troubles(script: Script, troubles: dict[str, TroubleSection]) -> Script:
-    return Script(script.path, script.day, script.fleet, script.load, troubles, script.overrides, script.terms)
+    return Script(script.path, script.day, script.fleet, script.load, script.net, troubles, script.overrides,
+                  script.terms)
 
 
 def play(script: Script, seed: int, policy: str) -> Outcome | None:
@@ -91,7 +99,7 @@
     lines += [f"; rule {v.rule} broken: {v.where}" for v in outcome.verdicts if not v.kept]
     sections = {"day": script.day.model_copy(update={
         "seed": seed, "settings": str((script.path.parent / script.day.settings).resolve())}), "fleet": script.fleet,
-        "load": script.load, **{f"trouble {k}": t for k, t in script.troubles.items()}}
+        "load": script.load, "net": script.net, **{f"trouble {k}": t for k, t in script.troubles.items()}}
     for name, section in sections.items():
         lines.append(f"\n[{name}]")
         for key, value in section.model_dump().items():
--- a/hollyridge/lab/live.py
+++ b/hollyridge/lab/live.py
@@ -13,9 +13,10 @@
 import msgspec
 from gevent import subprocess
 
+from hollyridge.core.loop import CLOCK_ABOVE
 from hollyridge.lab.agent import Agent
 from hollyridge.lab.day import Day, DayError
-from hollyridge.lab.record import Recorder, now_us, read_all
+from hollyridge.lab.record import STATE, Recorder, now_us, read_all
 from hollyridge.lab.script import Script
 from hollyridge.lab.world import LiveWorld
 
@@ -106,7 +107,7 @@
         for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
                                     ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
                                     ("clone", "listen", clone), ("log", "format", "json"),
-                                    ("log", "status_every_s", "5")):
+                                    ("log", "status_every_s", "1")):
             if not parser.has_section(section):
                 parser.add_section(section)
             parser.set(section, key, value)
@@ -134,6 +135,13 @@
         self.assigner.send_signal(signal.SIGKILL)
         self.assigner.wait()
 
+    def stall_assigner(self, seconds: float) -> None:
+        stalled = self.assigner
+        stalled.send_signal(signal.SIGSTOP)
+        gevent.sleep(seconds)
+        if stalled.poll() is None:
+            stalled.send_signal(signal.SIGCONT)
+
     def act(self, day: Day) -> int:
         """Let the day pass; returns when it began."""
         day.lay_out()
@@ -151,12 +159,25 @@
 
     def recorded(self) -> list[dict]:
         self.record.flush()
-        return read_all(self.folder)
+        return sorted([*read_all(self.folder), *self.states()], key=lambda row: row["t"])
+
+    def states(self) -> list[dict]:
+        """What the assigner told of itself in its logs."""
+        rows = []
+        for path in sorted(self.folder.glob("assigner-*.log")):
+            for line in path.read_bytes().splitlines():
+                if b'"status"' in line and line.startswith(b"{"):
+                    core = msgspec.json.decode(line).get("core", {})
+                    if "at" in core:
+                        rows.append({"k": "state", "t": core["at"] - CLOCK_ABOVE, **{key: core[key] for key in STATE},
+                                     **core["module"]})
+        return rows
 
     def end(self) -> None:
         for house in self.houses[::-1]:
             house.end()
         if self.assigner is not None and self.assigner.poll() is None:
+            self.assigner.send_signal(signal.SIGCONT)
             self.assigner.terminate()
             try:
                 code = self.assigner.wait(timeout=5)
--- a/hollyridge/lab/physics.py
+++ b/hollyridge/lab/physics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from typing import NamedTuple
 
 
@@ -20,6 +20,9 @@
     fall_us: int = 2_000_000
     handshake_us: int = 3000
     connections: int = 200
+    cache_us: int = 0  # how long a key that was met costs less work
+    cache_keys: int = 200
+    cache_gain: float = 0.2
 
 
 class Warmth:
@@ -68,6 +71,29 @@
         return self.total / allowed
 
 
+class Cache:
+    """Keys met lately, the oldest forgotten first.
+
+    >>> cache = Cache(Build(cache_us=100, cache_keys=2, cache_gain=0.2))
+    >>> [cache.part(at, key) for at, key in ((0, 1), (50, 1), (200, 1), (201, 2), (202, 3), (203, 1))]
+    [1.0, 0.8, 1.0, 1.0, 1.0, 1.0]
+    """
+
+    def __init__(self, build: Build) -> None:
+        self.build = build
+        self.met: OrderedDict[int, int] = OrderedDict()
+
+    def part(self, now: int, key: int) -> float:
+        """Of its work that an RPC with this key costs. Below 0: a key that nothing remembers."""
+        if key < 0 or not self.build.cache_us:
+            return 1.0
+        before = self.met.pop(key, None)
+        self.met[key] = now
+        if len(self.met) > self.build.cache_keys:
+            self.met.popitem(last=False)
+        return 1.0 if before is None or now - before > self.build.cache_us else 1.0 - self.build.cache_gain
+
+
 class Busy:
     """Part of the cores in use, over the time since it was last asked."""
 
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -4,6 +4,9 @@
 
 import time
 from collections import defaultdict
+from functools import lru_cache
+from itertools import accumulate
+from math import prod
 from random import Random
 
 import gevent
@@ -16,6 +19,12 @@
 from hollyridge.otlp.sender import Figure
 
 
+@lru_cache(maxsize=8)
+def popularity(keys: int, zipf: float) -> list[float]:
+    """Cumulative shares of keys by rank."""
+    return list(accumulate(rank ** -zipf for rank in range(1, keys + 1)))
+
+
 class Pipe:
     """A connection to one task, dialled at the first call."""
 
@@ -60,7 +69,7 @@
             sock.close()
 
     def call(self, proxy: str, method: int, token: str, work: float,
-             timeout: float) -> tuple[int, rpc.Answer | None]:
+             timeout: float, key: int = -1) -> tuple[int, rpc.Answer | None]:
         """Outcome and answer. NOT_SENT proves that it never ran."""
         if not self.dial(min(timeout, 0.25)):
             return rpc.NOT_SENT, None
@@ -68,7 +77,7 @@
         waiter = self.waiting[self.number] = AsyncResult()
         number = self.number
         try:
-            rpc.send(self.sock, rpc.Call(number, proxy, method, token, work))
+            rpc.send(self.sock, rpc.Call(number, proxy, method, token, work, key))
         except OSError:
             self.waiting.pop(number, None)
             self.close()
@@ -104,7 +113,11 @@
         self.down = False
         self.late = 0.0
         self.cut: set[str] = set()
-        self.factor = 1.0
+        self.factors: dict[str, float] = {}
+        self.links: dict[str, list] = {}  # second figure of addresses: seconds more each way, part lost
+        self.stalled_until = 0
+        self.away = False  # no stream gets through
+        self.slow_orders = 0.0  # seconds to read a message of orders
         self.gateway.on_change(self.tidy)
         self.gateway.watch = self.watch
         self.jobs = [world.spawn(job) for job in (self.gateway.run, self.live, self.report)]
@@ -125,14 +138,22 @@
         return CloneGateway(tuple(self.plan["clone"]), self.uid, self.names, how, before=self.apply, **terms)
 
     def watch(self, begins: bool) -> None:
+        if begins and self.away:
+            raise ConnectionError("no way to the assigner")
         self.stream += begins
         self.record("stream", who=self.uid, stream=self.stream, up=begins, why=self.gateway.trouble)
 
     def apply(self, lines: int) -> None:
         """Applying takes time; one that is deaf reads no further."""
-        self.world.sleep(self.plan["apply_us"] * lines / 1e6)
+        self.world.sleep(self.plan["apply_us"] * lines / 1e6 + self.slow_orders)
         while self.deaf:
             self.world.sleep(0.05)
+        self.stall()
+
+    def stall(self) -> None:
+        """No turn, then all that came at once."""
+        while self.stalled_until > self.world.now():
+            self.world.sleep((self.stalled_until - self.world.now()) / 1e6)
 
     def hang_up(self) -> None:
         self.gateway.hang_up()
@@ -167,13 +188,17 @@
     def live(self) -> None:
         shares = [m["share"] for m in self.methods]
         while not self.down:
-            self.world.sleep(self.rng.expovariate(max(1e-6, self.rate * self.factor)))
+            self.world.sleep(self.rng.expovariate(max(1e-6, self.rate * prod(self.factors.values()))))
             method = self.rng.choices(range(len(shares)), shares)[0]
             mean = self.methods[method]["work_us"]
             work = self.rng.lognormvariate(0, 0.6) / 1.197 * mean
-            self.world.spawn(self.client_rpc, method, work)
+            key = -1
+            if self.plan["keys"]:
+                shares_of_keys = popularity(self.plan["keys"], self.plan["zipf"])
+                key = self.rng.choices(range(self.plan["keys"]), cum_weights=shares_of_keys)[0]
+            self.world.spawn(self.client_rpc, method, work, key)
 
-    def client_rpc(self, method: int, work: float) -> None:
+    def client_rpc(self, method: int, work: float, key: int) -> None:
         """A client's RPC with its own retries: after any failure where that is safe, else only after proof."""
         terms, begun = self.methods[method], self.seconds()
         self.token += 1
@@ -181,16 +206,17 @@
         deadline = begun + terms["deadline_us"] / 1e6
         outcome, tries = rpc.NOT_SENT, 0
         while True:
+            self.stall()
             self.reporter.came(terms["name"])
             level, retry = self.gateway.level_for(terms["name"])
             outcome = rpc.PUSHED_BACK
             if self.rng.random() < level:
-                outcome = self.send(method, token, work, deadline)
+                outcome = self.send(method, token, work, key, deadline)
                 for _ in range((0, 1, 1, 2)[retry]):  # as the assigner orders
                     never_ran = outcome in (rpc.PUSHED_BACK, rpc.NOT_SENT)
                     if outcome == rpc.OK or not never_ran and retry == 1 or self.seconds() + 0.05 >= deadline:
                         break
-                    outcome = self.send(method, token, work, deadline)
+                    outcome = self.send(method, token, work, key, deadline)
             if outcome not in (rpc.OK, rpc.PUSHED_BACK, rpc.NOT_SENT):
                 self.reporter.came(terms["name"], unanswered=True)
             tries += 1
@@ -204,7 +230,7 @@
         took = round((self.seconds() - begun) * 1e6)
         self.record("done", proxy=self.uid, method=method, ok=outcome == rpc.OK, took=took, tries=tries)
 
-    def send(self, method: int, token: str, work: float, deadline: float) -> int:
+    def send(self, method: int, token: str, work: float, key: int, deadline: float) -> int:
         now = self.seconds()
         avoid = {task for task, until in self.avoid_until.items() if until > now}
         task = self.gateway.pick(self.names[method], self.out.__getitem__, avoid)
@@ -215,11 +241,7 @@
         timeout = max(0.01, (deadline - now) * self.plan["try_share"])
         self.record("try", proxy=self.uid, task=task, method=method, token=token)
         self.out[task] += 1
-        if task.split(".")[1] in self.cut:
-            self.world.sleep(timeout)
-            outcome, answer = rpc.NO_ANSWER, None
-        else:
-            outcome, answer = pipe.call(self.uid, method, token, work, timeout)
+        outcome, answer = self.over(pipe, task.split(".")[1], timeout, method, token, work, key)
         self.out[task] -= 1
         took = self.seconds() - now
         self.reporter.met(task, self.names[method], outcome == rpc.OK, took)
@@ -235,6 +257,26 @@
             self.reporter.load(task, util=answer.util, queue=answer.queue)
         return outcome
 
+    def over(self, pipe: Pipe, octet: str, timeout: float, *call) -> tuple[int, rpc.Answer | None]:
+        """Call over the network between two zones, with what is wrong there: what is lost is lost on the way there or
+        on the way back, and what comes too late has run."""
+        method, token, work, key = call
+        delay, lost = self.links.get(octet, (0.0, self.plan["lost"]))
+        if octet in self.cut or lost and self.rng.random() < lost:
+            self.world.sleep(timeout)
+            return rpc.NO_ANSWER, None
+        if not (delay or lost):
+            return pipe.call(self.uid, method, token, work, timeout, key)
+        begun = self.seconds()
+        self.world.sleep(min(delay, timeout))
+        left = timeout - 2 * delay
+        outcome, answer = pipe.call(self.uid, method, token, work, max(left, 0.001), key)
+        back = begun + timeout - self.seconds()
+        if answer is not None and (left <= 0 or self.rng.random() < lost):
+            outcome, answer = rpc.NO_ANSWER, None
+        self.world.sleep(back if outcome == rpc.NO_ANSWER else min(delay, back))
+        return outcome, answer
+
     # Reports.
 
     def report(self) -> None:
--- a/hollyridge/lab/record.py
+++ b/hollyridge/lab/record.py
@@ -10,6 +10,9 @@
 import msgspec
 
 
+STATE = ("waiting", "decisions", "messages", "puts", "events")  # of the assigner's status, kept in recordings
+
+
 def now_us() -> int:
     return time.monotonic_ns() // 1000
 
--- a/hollyridge/lab/rpc.py
+++ b/hollyridge/lab/rpc.py
@@ -18,6 +18,7 @@
     method: int
     token: str
     work: float
+    key: int = -1
 
 
 class Answer(msgspec.Struct, array_like=True):
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -10,8 +10,13 @@
 from hollyridge.settings import assigner
 from hollyridge.settings.ini import FaultsError, Section, check, read_file
 
-KINDS = ("release", "zone_lost", "zone_cut", "hang", "errors", "pauses", "streams_broken", "late_sums", "surge",
-         "assigner_killed", "proxies_killed", "unread", "restart_in_place")
+KINDS = {
+    # kind: the forms it has, the first where none is named
+    "release": (), "restart_in_place": (), "vanish": (), "hang": (), "errors": (), "pauses": (), "ageing": (),
+    "method_fails": ("error", "silence"), "handshake_slow": (), "grow": (), "surge": (), "shift": (),
+    "false_loads": ("low", "zero", "stuck", "busy"), "late_sums": (), "zone_lost": ("tasks", "all"),
+    "zone_cut": ("tasks", "all"), "slow_link": ("zone", "pair"), "streams_broken": (), "slow_orders": (), "unread": (),
+    "proxies_killed": (), "proxies_stalled": ("apart", "zone"), "assigner_killed": (), "assigner_stalled": ()}
 Part = Annotated[float, Field(gt=0, le=1)]
 
 
@@ -22,8 +27,9 @@
     length_s: Annotated[float, Field(gt=2, le=3600)]
     seed: int = 1
     notice_ms: Annotated[list[float], Field(min_length=2, max_length=2)] = [300, 1500]
+    silent_notice_ms: Annotated[list[float], Field(min_length=2, max_length=2)] = [2000, 6000]
 
-    @field_validator("notice_ms", mode="before")
+    @field_validator("notice_ms", "silent_notice_ms", mode="before")
     @classmethod
     def two(cls, value: object, _info: ValidationInfo) -> object:
         return value.replace(",", " ").split() if isinstance(value, str) else value
@@ -40,6 +46,20 @@
     cold_s: PositiveFloat = 10
     handshake_ms: Annotated[float, Field(ge=0)] = 5
     connections: PositiveInt = 200
+    cache_s: Annotated[float, Field(ge=0)] = 0
+    cache_keys: PositiveInt = 200
+    cache_gain: Annotated[float, Field(ge=0, lt=1)] = 0.2
+
+
+class NetSection(Section):
+    """One way, in the simulated world; a frame of orders takes `orders_ms`."""
+
+    near_ms: Annotated[float, Field(ge=0)] = 0.3
+    far_ms: Annotated[float, Field(ge=0)] = 1.5
+    orders_ms: Annotated[float, Field(ge=0)] = 1.5
+    jitter: Annotated[float, Field(ge=0, lt=1)] = 0.3
+    lost: Annotated[float, Field(ge=0, lt=1)] = 0
+    apply_us: Annotated[float, Field(ge=0)] = 40
 
 
 class LoadSection(Section):
@@ -51,6 +71,8 @@
     client_retries: Annotated[int, Field(ge=0, le=10)] = 2
     reckless: bool = False
     try_share: Part = 0.7
+    keys: Annotated[int, Field(ge=0, le=1_000_000)] = 0
+    zipf: Annotated[float, Field(ge=0, le=3)] = 0.8
 
     @field_validator("work_ms", "shares", mode="before")
     @classmethod
@@ -59,19 +81,28 @@
 
 
 class TroubleSection(Section):
-    kind: Literal[KINDS]
+    """What `size` and `extra` mean hangs on the kind; `docs/lab.md` has the table."""
+
+    kind: Literal[tuple(KINDS)]
+    how: str = ""
     at_s: Annotated[float, Field(ge=0)]
     for_s: Annotated[float, Field(ge=0)] = 0
     part: Part = 1.0
-    size: PositiveFloat = 1.0
+    size: Annotated[float, Field(ge=0)] = 1.0
+    extra: Annotated[float, Field(ge=0)] = 1.0
     zone: str = ""
+    method: str = ""
+
+    @property
+    def form(self) -> str:
+        return self.how or next(iter(KINDS[self.kind]), "")
 
 
 class Script:
-    def __init__(self, path: Path, day: DaySection, fleet: FleetSection, load: LoadSection,
+    def __init__(self, path: Path, day: DaySection, fleet: FleetSection, load: LoadSection, net: NetSection,
                  troubles: dict[str, TroubleSection], overrides: dict[tuple[str, str], str],
                  terms: assigner.AssignerTerms) -> None:
-        self.path, self.day, self.fleet, self.load = path, day, fleet, load
+        self.path, self.day, self.fleet, self.load, self.net = path, day, fleet, load, net
         self.troubles, self.overrides, self.terms = troubles, overrides, terms
 
 
@@ -81,7 +112,7 @@
     path = Path(path)
     parser, faults = read_file(path), []
     found, troubles, overrides = {}, {}, {}
-    models = {"day": DaySection, "fleet": FleetSection, "load": LoadSection}
+    models = {"day": DaySection, "fleet": FleetSection, "load": LoadSection, "net": NetSection}
     for name in parser.sections():
         first, _, rest = name.partition(" ")
         if first == "trouble" and rest:
@@ -108,8 +139,12 @@
         for name, trouble in troubles.items():
             if trouble.zone and trouble.zone not in terms.zones:
                 faults.append(f"[trouble {name}] zone: no such zone in the settings")
+            if trouble.method and trouble.method not in terms.methods:
+                faults.append(f"[trouble {name}] method: no such method in the settings")
+            if trouble.how and trouble.how not in KINDS[trouble.kind]:
+                faults.append(f"[trouble {name}] how: {', '.join(KINDS[trouble.kind]) or 'it has one form only'}")
             if trouble.at_s >= found["day"].length_s:
                 faults.append(f"[trouble {name}] at_s: after the day's end")
     if faults:
         raise FaultsError(faults)
-    return Script(path, found["day"], found["fleet"], found["load"], troubles, overrides, terms)
+    return Script(path, found["day"], found["fleet"], found["load"], found["net"], troubles, overrides, terms)
--- a/hollyridge/lab/task.py
+++ b/hollyridge/lab/task.py
@@ -11,7 +11,7 @@
 from gevent.server import StreamServer
 
 from hollyridge.lab import rpc
-from hollyridge.lab.physics import Budget, Build, Busy, Warmth, service_us
+from hollyridge.lab.physics import Budget, Build, Busy, Cache, Warmth, service_us
 from hollyridge.lab.record import Recorder
 
 TOKENED, NON_IDEMPOTENT = "tokened", "non-idempotent"
@@ -34,7 +34,13 @@
         self.slots = world.slots(build.slots)
         self.waiting = self.held = self.connections = 0
         self.down = self.hung = self.draining = False
+        self.silent = False  # gone without a word: takes nothing, answers nothing
         self.errors = 0.0
+        self.fails: list = []  # method, part, and whether by silence: one method's RPCs only
+        self.slow = 1.0
+        self.handshake, self.dial_s = 1.0, 0.0  # times the work; seconds on top
+        self.lie: list = []  # how, part: what it tells of its load is not so
+        self.cache = Cache(build)
         self.paused_until = 0
         self.util, self.queue = 0.0, 0
         world.spawn(self.look)
@@ -44,14 +50,20 @@
     def look(self) -> None:
         while not self.down:
             self.world.sleep(0.5)
-            self.util, self.queue = self.busy.read(self.world.now()), self.waiting
+            how, part = self.lie or ("", 1.0)
+            util, queue = self.busy.read(self.world.now()), self.waiting
+            if how == "busy":
+                util, queue = 1.0, self.build.queue
+            if how != "stuck":
+                part = 0.0 if how == "zero" else part if how == "low" else 1.0
+                self.util, self.queue = util * part, round(queue * part)
 
     def connect(self) -> bool:
         """A connection is opened; its handshake is work. False where no more are taken."""
         if self.down or self.connections >= self.build.connections:
             return False
         self.connections += 1
-        self.world.spawn(self.work, self.build.handshake_us * self.build.speed)
+        self.world.spawn(self.work, self.build.handshake_us * self.build.speed * self.handshake)
         return True
 
     def disconnect(self) -> None:
@@ -59,7 +71,7 @@
 
     def take(self, call: rpc.Call, answer: Callable[[rpc.Answer], None]) -> None:
         now = self.world.now()
-        if self.down:
+        if self.down or self.silent:
             return
         used = self.budget.came(now, call.work)
         self.record("rpc", task=self.key, run=self.run, proxy=call.proxy, method=call.method, token=call.token,
@@ -72,13 +84,16 @@
             self.answer(answer, call, rpc.PUSHED_BACK)
         elif self.errors and self.chance() < self.errors:
             self.answer(answer, call, rpc.ERROR)
+        elif self.fails and self.fails[0] == call.method and self.chance() < self.fails[1]:
+            if not self.fails[2]:
+                self.answer(answer, call, rpc.ERROR)
         else:
             self.world.spawn(self.handle, answer, call)
 
     def work(self, amount: float) -> None:
         self.held += 1
         self.busy.change(self.world.now(), 1)
-        self.world.sleep(service_us(self.build, self.warmth, self.world.now(), amount, self.held) / 1e6)
+        self.world.sleep(service_us(self.build, self.warmth, self.world.now(), amount, self.held) * self.slow / 1e6)
         while self.paused_until > self.world.now():
             self.world.sleep((self.paused_until - self.world.now()) / 1e6)
         self.held -= 1
@@ -91,7 +106,7 @@
             if self.down:
                 return
             self.effect(call)
-            self.work(call.work)
+            self.work(call.work * self.cache.part(self.world.now(), call.key))
         self.answer(answer, call, rpc.OK)
 
     def effect(self, call: rpc.Call) -> None:
@@ -106,7 +121,7 @@
             self.record("effect", task=self.key, method=call.method, token=call.token)
 
     def answer(self, answer: Callable[[rpc.Answer], None], call: rpc.Call, outcome: int) -> None:
-        if not self.hung and not self.down:
+        if not (self.hung or self.down or self.silent):
             answer(rpc.Answer(call.number, outcome, self.util, self.queue))
 
     def stop(self, why: str) -> None:
@@ -144,6 +159,7 @@
             except OSError:
                 pass
         try:
+            self.task.world.sleep(self.task.dial_s)
             for call in rpc.receive(sock, calls=True):
                 self.task.take(call, answer)
                 if self.task.down:
--- a/hollyridge/lab/virtual.py
+++ b/hollyridge/lab/virtual.py
@@ -19,7 +19,7 @@
 from hollyridge.lab.physics import Build
 from hollyridge.lab.policies import POLICIES
 from hollyridge.lab.proxy import Proxy
-from hollyridge.lab.record import Recorder
+from hollyridge.lab.record import STATE, Recorder
 from hollyridge.lab.script import Script
 from hollyridge.lab.task import Task
 from hollyridge.lab.world import VirtualWorld
@@ -33,7 +33,8 @@
 from hollyridge.service import Service
 from hollyridge.steering.news import LOADS, Kind, Point
 
-NEAR, FAR, JITTER = 0.0003, 0.0015, 0.3  # s one way within a zone and between zones; part of it that varies
+
+STATE_EVERY = 500_000  # us
 
 
 class QuietLog:
@@ -88,14 +89,16 @@
             self.stage.world.spawn(self.got, None)
 
     def pass_on(self, way: int, call: Callable, *words) -> None:
-        world = self.stage.world
-        self.arrives[way] = max(self.arrives[way] + 1, world.now() + round(self.stage.delay(FAR) * 1e6))
+        world, stage = self.stage.world, self.stage
+        self.arrives[way] = max(self.arrives[way] + 1, world.now() + round(stage.delay(stage.net.orders_ms) * 1e6))
         world.when(self.arrives[way], world.start, call, words)
 
     def say(self, frame: bytes) -> None:
         self.pass_on(0, self.hear, frame)
 
     def hear(self, frame: bytes) -> None:
+        if self.stage.stalls(self.hear, frame):
+            return
         if self.open:
             self.front.take(self.stream, frame)
             self.wake()
@@ -106,6 +109,8 @@
             self.stage.world.spawn(self.flush)
 
     def flush(self) -> None:
+        if self.stage.stalls(self.flush):
+            return
         self.woken = False
         if not self.open or self.stream.closed:
             return
@@ -132,7 +137,7 @@
             self.pass_on(0, self.acknowledged, len(frame), marks)
 
     def acknowledged(self, size: int, marks: list) -> None:
-        if self.open:
+        if self.open and not self.stage.stalls(self.acknowledged, size, marks):
             self.consumed += size
             now = self.stage.world.now()
             for mark, at in marks:
@@ -169,6 +174,9 @@
     def run(self) -> None:
         wait = 0.1
         while not self.stopped:
+            if self.proxy.away:
+                self.stage.world.sleep(0.1)
+                continue
             self.watch(True)
             if self.stage.service is not None:
                 self.session()
@@ -208,23 +216,27 @@
 class VirtualPipe:
     def __init__(self, stage: VirtualStage, proxy: Proxy, name: str) -> None:
         self.stage, self.proxy, self.name, self.task, self.number = stage, proxy, name, None, 0
-        self.way = NEAR if proxy.host.split(".")[1] == name.split(".")[1] else FAR
+        near = proxy.host.split(".")[1] == name.split(".")[1]
+        self.way = stage.net.near_ms if near else stage.net.far_ms
 
-    def call(self, proxy: str, method: int, token: str, work: float, timeout: float):
+    def call(self, proxy: str, method: int, token: str, work: float, timeout: float, key: int = -1):
         world, stage = self.stage.world, self.stage
-        task = stage.net.get(self.name)
+        task = stage.at.get(self.name)
+        if task is not None and task.silent and task is not self.task:
+            world.sleep(min(timeout, 0.25))
+            return rpc.NOT_SENT, None
         if task is None or task.down:
             self.task = None
             world.sleep(stage.delay(self.way) * 2)
             return rpc.NOT_SENT, None
         if task is not self.task:  # dial
-            world.sleep(stage.delay(self.way) * 2)
+            world.sleep(stage.delay(self.way) * 2 + task.dial_s)
             if not task.connect():
                 return rpc.NOT_SENT, None
             self.task = task
         self.number += 1
         result = world.result()
-        call = rpc.Call(self.number, proxy, method, token, work)
+        call = rpc.Call(self.number, proxy, method, token, work, key)
         world.later(stage.delay(self.way), task.take, call,
                     lambda answer: world.later(stage.delay(self.way), result.set, answer))
         try:
@@ -271,7 +283,7 @@
         key = f"{host}:{port or self.stage.port}"
         task = Task(self.stage.world, name, key, run, Build(**build), effects=self.effects,
                     record=self.stage.record, fell=lambda task: self.heard({"fell": task.name}), **terms)
-        self.tasks[name] = self.stage.net[key] = task
+        self.tasks[name] = self.stage.at[key] = task
         self.heard({"started": name, "key": key, "run": run})
 
     def do_proxy(self, **terms) -> None:
@@ -317,6 +329,8 @@
             self.due.set()
             try:
                 while client.line.open and not client.lost:
+                    while self.stage.stalled > self.stage.world.now():
+                        self.stage.world.sleep(0.02)
                     if self.due.is_set():
                         self.due.clear()
                         self.sync(client)
@@ -339,7 +353,9 @@
         self.record = Recorder(None, self.world.now)
         self.file = record
         self.rng = Random(seed + 7)
-        self.net: dict[str, Task] = {}
+        self.net = script.net
+        self.at: dict[str, Task] = {}
+        self.stalled = 0  # until when the assigner has no turn
         self.port = 20000
         self.service: Service | None = None
         self.log = QuietLog()
@@ -347,8 +363,9 @@
         self.turn = 0
         self.status: list[dict] = []
 
-    def delay(self, seconds: float) -> float:
-        return seconds * (1 + JITTER * (2 * self.rng.random() - 1))
+    def delay(self, ms: float) -> float:
+        """Seconds, varied."""
+        return ms / 1e3 * (1 + self.net.jitter * (2 * self.rng.random() - 1))
 
     def house(self, _name: str, heard: Callable[[dict], None]) -> VirtualHouse:
         return VirtualHouse(self, heard)
@@ -374,12 +391,22 @@
         for stream in list(service.front.streams.values()):
             self.world.spawn(stream.sock.close)
 
+    def stall_assigner(self, seconds: float) -> None:
+        self.stalled = self.world.now() + round(seconds * 1e6)
+
+    def stalls(self, call: Callable, *words) -> bool:
+        """Whether the assigner has no turn now; then the call comes when it has."""
+        if self.stalled <= self.world.now():
+            return False
+        self.world.when(self.stalled, self.world.start, call, words)
+        return True
+
     def nudge(self) -> None:
         self.turn += 1
         self.world.when(self.world.now() + 500, self.world.start, self.run_machine, (self.turn,))
 
     def run_machine(self, turn: int) -> None:
-        if turn != self.turn or self.service is None:
+        if turn != self.turn or self.service is None or self.stalls(self.run_machine, turn):
             return
         due = self.service.machine.run(self.world.now())
         self.turn += 1
@@ -387,10 +414,16 @@
 
     def look(self, service: Service) -> None:
         """As the front looks after streams."""
-        front = service.front
+        front, told = service.front, 0
         while self.service is service:
             self.world.sleep(0.1)
             now = self.world.now()
+            if self.stalled > now:
+                continue
+            if now >= told:
+                told = now + STATE_EVERY
+                status = service.machine.status()
+                self.record("state", **{key: status[key] for key in STATE}, **status["module"])
             for number, stream in list(front.streams.items()):
                 front.presence.unread(now, number, stream.sock.consumed,
                                       stream.sent - stream.sock.consumed > self.script.terms.sasp.send_buffer_bytes)
@@ -399,7 +432,7 @@
                     front.close(front.streams[number], why)
 
     def report(self, source: str, figures: list[Figure]) -> None:
-        if self.service is None:
+        if self.service is None or self.stalls(self.report, source, figures):
             return
         names, now = self.names, self.world.now()
         for figure in figures:
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -348,10 +348,10 @@
     """The Greedy Policy: push iff U < V x gain, then U <- [U - hmax]+ + u."""
 
     def __init__(self) -> None:
-        self.price = 0.0
+        self.price = self.gain = 0.0
 
     def decide(self, published: float, current: float, held: bool) -> bool:
-        gain = (published - current) / published if published > 0 else 0.0
+        self.gain = gain = (published - current) / published if published > 0 else 0.0
         push = not held and self.price < V * (gain if gain >= NOISE_FLOOR else 0.0)
         self.price = max(self.price - HMAX, 0.0) + push
         return push
@@ -575,6 +575,10 @@
                 current += demand * sum(w * cost[i] for i, w in lines.items()) / sum(lines.values())
         return self.gate.decide(published, current, self.outbox.held())
 
+    def figures(self) -> dict[str, object]:
+        """For watchers: price U and last gain of the gate, levels by zone. Nothing is decided by them."""
+        return {"price": self.gate.price, "gain": self.gate.gain, "levels": list(self.levels.open)}
+
     def parts(self, now: int) -> dict[int, float]:  # of what a warm task carries, for each open one
         return {i: self.ramp.part(now, self.roster.started[i]) for i in self.roster.open()}
 
