--- a/hollyridge/cli/day.py
+++ b/hollyridge/cli/day.py
@@ -22,8 +22,12 @@
 
 
 def play(path: str, report: str | None, seed: int | None, policy: str, as_json: bool, fronts: str) -> int:
+    names = tuple(word for word in fronts.split(",") if word)
+    if not set(names) <= {"sasp", "clone"}:
+        click.echo("--fronts: sasp, clone, or both with a comma", err=True)
+        return 2
     try:
-        script = scripts.load(path)
+        script = scripts.load(path, fronts=names)
     except FaultsError as trouble:
         for fault in trouble.faults:
             click.echo(f"{path}: {fault}", err=True)
@@ -31,22 +35,18 @@
     if policy and policy not in POLICIES:
         click.echo(f"--policy: one of {', '.join(POLICIES)}", err=True)
         return 2
-    names = tuple(fronts.split(","))
-    if not set(names) <= {"sasp", "clone"}:
-        click.echo("--fronts: sasp, clone, or both with a comma", err=True)
-        return 2
     if report is not None:
         Path(report).mkdir(parents=True, exist_ok=True)
         if any(Path(report).glob("*.jsonl")):
             click.echo(f"--report: {report} holds recordings already; name another folder", err=True)
             return 2
-        return run(script, Path(report), seed, policy, as_json, names, keep=True)
+        return run(script, Path(report), seed, policy, as_json, keep=True)
     with tempfile.TemporaryDirectory(prefix="hollyridge-day-") as folder:
-        return run(script, Path(folder), seed, policy, as_json, names, keep=False)
+        return run(script, Path(folder), seed, policy, as_json, keep=False)
 
 
 def run(script: scripts.Script, folder: Path, seed: int | None, policy: str, as_json: bool,
-        fronts: tuple[str, ...], keep: bool) -> int:
+        keep: bool) -> int:
     with click.progressbar(length=1000, label=f"{script.day.length_s:.0f} s", file=sys.stderr) as bar:
         told = 0
 
@@ -57,14 +57,14 @@
         main = gevent.getcurrent()
         gevent.signal_handler(signal.SIGTERM, lambda: main.throw(DayError("ended by a signal")))
         try:
-            outcome = Day(script, LiveStage(script, folder, policy, fronts), seed, tick, fronts).play()
+            outcome = Day(script, LiveStage(script, folder, policy), seed, tick).play()
         except DayError as trouble:
             click.echo(f"the day could not be played: {trouble}", err=True)
             for log in sorted(folder.glob("*.log")):
                 for line in log.read_text(errors="replace").splitlines()[-3:]:
                     click.echo(f"{log.name}: {line[:300]}", err=True)
             return 2
-    show(outcome, as_json, len(fronts) > 1)
+    show(outcome, as_json, len(script.fleet.fronts) > 1)
     if keep:
         from hollyridge.lab.page import write
         (folder / "outcome.json").write_bytes(msgspec.json.encode(outcome))
--- a/hollyridge/cli/lab.py
+++ b/hollyridge/cli/lab.py
@@ -15,11 +15,11 @@
     """The laboratory: days under a simulated clock, paired comparisons, hunts for bad days."""
 
 
-def load(path: str, settings: str = ""):
+def load(path: str, settings: str = "", fronts: str = "", times: float = 1.0, assigners: int = 0):
     from hollyridge.lab import script
     from hollyridge.settings.ini import FaultsError
     try:
-        return script.load(path, settings)
+        return script.load(path, settings, tuple(word for word in fronts.split(",") if word), times, assigners)
     except FaultsError as trouble:
         for fault in trouble.faults:
             click.echo(f"{path}: {fault}", err=True)
@@ -33,34 +33,47 @@
 @click.option("--live", is_flag=True, help="On real sockets, in real time.")
 @click.option("--policy", default="", help="Another decision module of the laboratory.")
 @click.option("--settings", default="", type=click.Path(), help="A settings file in place of the script's.")
+@click.option("--fronts", default="", help="In place of the script's: sasp, clone, or both with a comma.")
+@click.option("--times", default=1.0, help="Fleet, load and channel so many times as large.")
+@click.option("--assigners", default=0, help="In place of the script's.")
+@click.option("--cost", is_flag=True, help="Tell what the day cost, and where.")
 @click.option("--ties", type=int, help="Shuffle what is due at the same moment, by this seed.")
 @click.option("--report", type=click.Path(file_okay=False), help="Write a page with the result here.")
 @click.option("--json", "as_json", is_flag=True)
-def run(scenario: str, seed: int | None, record: str | None, live: bool, policy: str, settings: str,
-        ties: int | None, report: str | None, as_json: bool) -> None:
+def run(scenario: str, seed: int | None, record: str | None, live: bool, policy: str, settings: str, fronts: str,
+        times: float, assigners: int, cost: bool, ties: int | None, report: str | None, as_json: bool) -> None:
     """Play SCENARIO (a day's script) in the simulated world, or with --live on sockets."""
     if live:
         from gevent import monkey
         monkey.patch_all()
     from hollyridge.cli.day import show
+    from hollyridge.lab.cost import Meter
     from hollyridge.lab.day import Day, DayError
     from hollyridge.lab.page import write
     from hollyridge.lab.policies import POLICIES
     from hollyridge.lab.virtual import VirtualStage
-    script = load(scenario, settings)
+    script = load(scenario, settings, fronts, times, assigners)
     if policy and policy not in POLICIES:
         click.echo(f"--policy: one of {', '.join(POLICIES)}", err=True)
         sys.exit(2)
     if live:
         from hollyridge.cli.day import play
-        sys.exit(play(scenario, report, seed, policy, as_json, "sasp"))
+        sys.exit(play(scenario, report, seed, policy, as_json, fronts))
     seed = script.day.seed if seed is None else seed
+    meter = Meter() if cost else None
+    if meter is not None:
+        meter.start()
     try:
         outcome = Day(script, VirtualStage(script, policy, seed, ties, record), seed).play()
     except DayError as trouble:
         click.echo(f"the day could not be played: {trouble}", err=True)
         sys.exit(2)
-    show(outcome, as_json, False)
+    if meter is not None:
+        outcome.figures.update(cost=meter.stop(script.day.length_s), tasks=script.fleet.tasks,
+                               proxies=script.fleet.proxies)
+    show(outcome, as_json, len(script.fleet.fronts) > 1)
+    if meter is not None and not as_json:
+        click.echo(f"cost: {outcome.figures['cost']}")
     if report:
         Path(report).mkdir(parents=True, exist_ok=True)
         click.echo(f"report: {write(Path(report), script, outcome)}", err=True)
@@ -132,6 +145,35 @@
     sys.exit(1 if broken else 0)
 
 
+@lab.command()
+@click.argument("script", type=click.Path(exists=True))
+@click.option("--sizes", default="0.1,1,10", show_default=True, help="Times the script's fleet.")
+@click.option("--assigners", default="1", show_default=True, help="Numbers of assigners.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--timeout-s", default=900.0, show_default=True, help="For one size.")
+@click.option("--out", type=click.Path(file_okay=False), help="Write a page with plots here.")
+@click.option("--json", "as_json", is_flag=True)
+def sweep(script: str, sizes: str, assigners: str, seed: int, timeout_s: float, out: str | None, as_json: bool) -> None:
+    """Play SCRIPT at growing sizes: how cost, lines and nearness to the rules grow, and where the time goes."""
+    from hollyridge.lab import sweep as sweeping
+    try:
+        many, counts = [float(word) for word in sizes.split(",")], [int(word) for word in assigners.split(",")]
+    except ValueError:
+        click.echo("--sizes and --assigners: numbers with commas between them", err=True)
+        sys.exit(2)
+    rows = sweeping.sweep(script, many, counts, seed, timeout_s,
+                          lambda row: click.echo(msgspec.json.encode(row), err=True))
+    try:
+        page = str(sweeping.page(rows, Path(out), Path(script).stem)) if out else ""
+    except ValueError as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo(msgspec.json.encode({"rows": rows, "page": page}))
+    elif page:
+        click.echo(page)
+
+
 @lab.command()
 @click.argument("source", type=click.Path(exists=True))
 @click.option("--out", default="report", show_default=True, type=click.Path(file_okay=False))
--- a/hollyridge/cli/main.py
+++ b/hollyridge/cli/main.py
@@ -87,7 +87,7 @@
 @click.option("--report", type=click.Path(file_okay=False), help="Keep recordings here, with a page.")
 @click.option("--seed", type=int, help="Instead of the script's own.")
 @click.option("--policy", default="", help="Another decision module of the laboratory, to compare with.")
-@click.option("--fronts", default="sasp", show_default=True, help="sasp, clone, or both: sasp,clone.")
+@click.option("--fronts", default="", help="In place of the script's: sasp, clone, or both: sasp,clone.")
 @click.option("--json", "as_json", is_flag=True, help="Print verdicts and figures as one JSON object.")
 def day(script: str, report: str | None, seed: int | None, policy: str, fronts: str, as_json: bool) -> None:
     """Play the day in SCRIPT against a real assigner process on loopback, and check the five rules from what
--- a/hollyridge/client/clone.py
+++ b/hollyridge/client/clone.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hollyridge.client.surface import Gateway
+from hollyridge.client.surface import Gateway, several
 from hollyridge.clone.client import Subscriber
 from hollyridge.clone.replica import Client
 
@@ -14,18 +14,22 @@
 
 
 class CloneGateway(Gateway):
-    """`how` goes to `Subscriber` (zmq, context, source, heard, keys). A session ends after `silent_beats`
-    heartbeats that did not come; the next one keeps what is held and asks for what has changed."""
+    """`address` may be a list: when one assigner doesn't answer, the next is dialled. `how` goes to `Subscriber` (zmq,
+    context, source, heard, keys). A session ends after `silent_beats` heartbeats that did not come; the next one keeps
+    what is held and asks for what has changed."""
 
-    def __init__(self, address: tuple[str, int], uid: str, methods: list[str], how: dict | None = None,
-                 silent_beats: float = 3.0, before: Callable[[int], None] = lambda lines: None, **terms) -> None:
+    def __init__(self, address: tuple[str, int] | list[tuple[str, int]], uid: str, methods: list[str],
+                 how: dict | None = None, silent_beats: float = 3.0, before: Callable[[int], None] = lambda lines: None,
+                 **terms) -> None:
         super().__init__(uid, methods, **terms)
-        self.address, self.how, self.silent_beats, self.before = address, how or {}, silent_beats, before
+        self.addresses, self.how, self.silent_beats, self.before = several(address), how or {}, silent_beats, before
+        self.ways = len(self.addresses)
         self.client, self.subscriber = Client(uid, methods), None
         self.versions: dict[str, int] = {}
 
     def session(self) -> None:
-        subscriber = Subscriber(self.address, self.uid, self.methods, client=self.client, **self.how)
+        subscriber = Subscriber(self.addresses[self.way], self.uid, self.methods, client=self.client, clock=self.clock,
+                                **self.how)
         self.subscriber = subscriber
         try:
             while not self.stopped and self.subscriber is subscriber:
--- a/hollyridge/client/surface.py
+++ b/hollyridge/client/surface.py
@@ -29,12 +29,21 @@
     CUT_OFF = "cut off"
 
 
+def several(address: tuple[str, int] | list[tuple[str, int]]) -> list[tuple[str, int]]:
+    """
+    >>> several(("127.0.0.1", 80)), several([("127.0.0.1", 80), ("127.0.0.1", 81)])
+    ([('127.0.0.1', 80)], [('127.0.0.1', 80), ('127.0.0.1', 81)])
+    """
+    return [address] if isinstance(address[0], str) else [tuple(one) for one in address]
+
+
 class Gateway:
     """`methods` in the order of the assigner's settings. `standing` is used until a table comes."""
 
     def __init__(self, uid: str, methods: list[str], standing: Mapping[str, float] | None = None, pick: str = "p2c",
                  rng: Random | None = None, cut_off_after: float = 30.0,
-                 sleep: Callable[[float], None] = time.sleep) -> None:
+                 sleep: Callable[[float], None] = time.sleep, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
         self.uid, self.methods, self.sleep, self.cut_off_after = uid, methods, sleep, cut_off_after
         self.rng = rng or Random()
         self.tables: dict[str, Mapping[str, float]] = {m: MappingProxyType(dict(standing or {})) for m in methods}
@@ -44,7 +53,8 @@
             picker.set(self.tables[method])
         self.listeners: list[Callable[[Gateway], None]] = []
         self.heard_at: float | None = None  # when the stream was last known to stand
-        self.standing_stream = False
+        self.standing_stream = self.lived = False
+        self.ways, self.way = 1, 0  # assigners that may be dialled, and whose turn it is
         self.stopped = False
         self.trouble = ""
         self.sessions = 0
@@ -79,7 +89,7 @@
     @property
     def age(self) -> float:
         """Seconds since the stream was last known to stand; infinite if it never was."""
-        return float("inf") if self.heard_at is None else time.monotonic() - self.heard_at
+        return float("inf") if self.heard_at is None else self.clock() - self.heard_at
 
     def start(self) -> None:
         threading.Thread(target=self.run, daemon=True, name=f"gateway {self.uid}").start()
@@ -101,14 +111,15 @@
             call(self)
 
     def alive(self) -> None:
-        self.heard_at, self.standing_stream = time.monotonic(), True
+        self.heard_at, self.standing_stream, self.lived = self.clock(), True, True
 
     def run(self) -> None:
         """Keep a stream until `stop`."""
-        wait, failed = wait_random_exponential(multiplier=0.1, max=2.0), 0
+        failed = 0
         while not self.stopped:
             self.sessions += 1
-            begun = time.monotonic()
+            begun = self.clock()
+            self.lived = False
             try:
                 self.watch(True)
                 self.session()
@@ -118,11 +129,22 @@
             self.standing_stream = False
             self.hang_up()
             self.watch(False)
-            failed = 1 if time.monotonic() - begun > 5 else failed + 1
-            state = RetryCallState(None, None, (), {})
-            state.attempt_number = min(failed, 10)
+            self.turn()
+            failed = 1 if self.clock() - begun > 5 else failed + 1
             if not self.stopped:
-                self.sleep(0.02 + wait(state))
+                self.sleep(0.02 + self.wait(failed))
+
+    @staticmethod
+    def wait(failed: int) -> float:
+        """Seconds before the next try after so many that failed."""
+        state = RetryCallState(None, None, (), {})
+        state.attempt_number = min(failed, 10)
+        return wait_random_exponential(multiplier=0.1, max=2.0)(state)
+
+    def turn(self) -> None:
+        """The same assigner again after a stream that stood, else the next one."""
+        if not self.lived:
+            self.way = (self.way + 1) % self.ways
 
     def session(self) -> None:
         """One stream, until it ends. Calls `alive` while it stands and `lay` at changes."""
--- a/hollyridge/clone/client.py
+++ b/hollyridge/clone/client.py
@@ -18,14 +18,15 @@
 
     def __init__(self, address: tuple[str, int], uid: str, methods: list[str], zmq=None, context=None,
                  source: str = "", client: Client | None = None, heard: Callable | None = None,
-                 keys: Callable = lambda sock: None) -> None:
+                 keys: Callable = lambda sock: None, clock: Callable[[], float] = time.monotonic,
+                 identity: bytes = b"") -> None:
         if zmq is None:
             import zmq
         self.zmq, self.uid, self.heard = zmq, uid, heard
         self.client = client or Client(uid, methods)
         for replica in self.client.replicas.values():
             replica.begin()
-        self.identity = b"\x01" + os.urandom(12)
+        self.clock, self.identity = clock, identity or b"\x01" + os.urandom(12)
         context = context or zmq.Context.instance()
         self.dealer, self.sub, self.push = (context.socket(kind) for kind in (zmq.DEALER, zmq.SUB, zmq.PUSH))
         self.dealer.identity = self.identity
@@ -39,7 +40,7 @@
         self.poller = zmq.Poller()
         for sock in (self.dealer, self.sub):
             self.poller.register(sock, zmq.POLLIN)
-        self.last_heard = self.last_beat = time.monotonic()
+        self.last_heard = self.last_beat = self.clock()
         self.asked: dict[str, float] = {}
         self.beat_s, self.joined = 1.0, False
         self.said_at = 0.0
@@ -52,13 +53,13 @@
             sock.close()
 
     def ask(self, subtree: str) -> None:
-        self.asked[subtree] = time.monotonic()
+        self.asked[subtree] = self.clock()
         self.sub.subscribe(subtree.encode())
         self.dealer.send_multipart(codec.encode(codec.Icanhaz(subtree)))
 
     def ack(self) -> None:
         """Say what is applied; also the sign of life."""
-        self.said_at = time.monotonic()
+        self.said_at = self.clock()
         home = self.client.replicas[self.client.home]
         word = codec.Ack(home.head.epoch, self.client.seqs())
         message = codec.Kvset(self.client.home + "ack", codec.uuid_of(self.identity.hex()), f"v={codec.LAYOUT}\n",
@@ -70,12 +71,12 @@
 
     def step(self, timeout: float) -> Tables | None:
         """Take what comes within `timeout` seconds, at the least one look; the tables if they changed."""
-        until, changed = time.monotonic() + timeout, False
+        until, changed = self.clock() + timeout, False
         while True:
-            left = max(0.0, min(until, self.said_at + self.beat_s) - time.monotonic())
+            left = max(0.0, min(until, self.said_at + self.beat_s) - self.clock())
             for sock, _ in self.poller.poll(left * 1000):
                 changed = self.take(sock.recv_multipart()) or changed
-            now = time.monotonic()
+            now = self.clock()
             if changed or now >= self.said_at + self.beat_s:
                 self.ack()
             for subtree, at in list(self.asked.items()):  # an answer that never comes must not end the asking
@@ -95,7 +96,7 @@
             self.heard(parts)
         try:
             message = codec.decode(parts)
-            self.last_heard = time.monotonic()
+            self.last_heard = self.clock()
             ask, drop, changed = self.client.take(message)
         except codec.CloneError:
             return False  # of a later layout, or spoilt: not applied; a gap if it mattered
@@ -105,14 +106,14 @@
             self.sub.unsubscribe(subtree.encode())
         home = self.client.replicas[self.client.home]
         if type(message) is codec.Kthxbai and message.subtree == self.client.home and home.synced:
-            self.joined, self.last_beat = True, time.monotonic()
+            self.joined, self.last_beat = True, self.clock()
         if home.synced:
             self.beat_s = min(10.0, max(0.05, home.head.beat / 1000))
             if type(message) is codec.Kvpub and message.key == self.client.home + "head":
-                self.last_beat = time.monotonic()
+                self.last_beat = self.clock()
         return changed
 
     @property
     def silent_for(self) -> float:
         """Seconds since a heartbeat of its own subtree, which only who is joined gets; before it is, since any."""
-        return time.monotonic() - (self.last_beat if self.joined else self.last_heard)
+        return self.clock() - (self.last_beat if self.joined else self.last_heard)
--- a/hollyridge/clone/front.py
+++ b/hollyridge/clone/front.py
@@ -63,20 +63,21 @@
 
 class CloneFront:
     """Serves `terms` for the machine of `loop`. `name_of(task)` is a task's `host:port`. With `curve`
-    only holders of known keys get through, and `access` says who may go by which name."""
+    only holders of known keys get through, and `access` says who may go by which name. `epoch` names this run."""
 
     def __init__(self, loop: Loop, terms: CloneTerms, presence: Presence, keeper: Doorkeeper,
                  zone_of: Callable[[str], int], name_of: Callable[[int], str], log, context: zmq.Context,
-                 curve: Curve | None = None, access: Access = OPEN) -> None:
+                 curve: Curve | None = None, access: Access = OPEN, epoch: str = "") -> None:
         self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
         self.terms, self.presence, self.keeper = terms, presence, keeper
         self.zone_of, self.name_of, self.log, self.access, self.curve = zone_of, name_of, log, access, curve
         self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
-        self.ledger = Ledger(os.urandom(8).hex(), terms.beat_ms)
+        self.ledger = Ledger(epoch or os.urandom(8).hex(), terms.beat_ms)
         self.ledger.set(codec.OUT, 0, {})
         self.readers: dict[str, Reader] = {}
         self.by_proxy: dict[int, Reader] = {}
         self.by_number: dict[int, Reader] = {}
+        self.by_identity: dict[bytes, Reader] = {}
         self.published: dict[int, Table] = {}
         self.number = 0
         self.counts = dict.fromkeys(("asked", "snapshots", "published", "bytes_out", "bad", "refused", "cut",
@@ -101,7 +102,7 @@
                 sock.bind(f"tcp://{self.terms.host}:{self.terms.port + at}")
         except zmq.ZMQError as trouble:
             raise OSError(trouble.errno, f"{trouble}: ports {self.terms.port} to {self.terms.port + 2}") from None
-        self.jobs = [gevent.spawn(job) for job in (self.answer, self.collect, self.beat)]
+        self.jobs = [self.loop.spawn(job) for job in (self.answer, self.collect, self.beat)]
         self.log.info("clone listens", host=self.terms.host, port=self.terms.port)
         return self.terms.port
 
@@ -123,7 +124,7 @@
                     sock.bind(endpoint)
                     break
                 except zmq.ZMQError:
-                    gevent.sleep(0.02)
+                    self.loop.sleep(0.02)
             else:
                 self.log.error("cannot listen again", endpoint=endpoint)
 
@@ -169,7 +170,7 @@
         if steps[1] == "proxy":
             self.hello(now, identity, steps[2], address, user)
             return
-        reader = next((r for r in self.by_number.values() if r.identity == identity), None)
+        reader = self.by_identity.get(identity)
         if reader is None or subtree != codec.OUT and subtree not in self.wanted(reader):
             self.counts["refused"] += 1
             return
@@ -213,7 +214,7 @@
             self.presence.left(self.number)
             return
         reader.proxy = proxy
-        self.by_proxy[proxy] = self.by_number[reader.number] = reader
+        self.by_proxy[proxy] = self.by_number[reader.number] = self.by_identity[identity] = reader
         self.log.info("joined", uid=uid, proxy=proxy, zone=zone, front="clone")
         self.loop.nudge()
 
@@ -221,6 +222,7 @@
         if self.readers.get(reader.uid) is reader:
             del self.readers[reader.uid]
         self.by_number.pop(reader.number, None)
+        self.by_identity.pop(reader.identity, None)
         self.presence.left(reader.number)
         self.ledger.drop(reader.home)
         if self.by_proxy.get(reader.proxy) is reader:
@@ -265,7 +267,7 @@
     def beat(self) -> None:
         """Heartbeats, and a look at who lags or is silent."""
         while True:
-            gevent.sleep(self.terms.beat_ms / 1000)
+            self.loop.sleep(self.terms.beat_ms / 1000)
             now = self.clock()
             self.publish([codec.Hugz()])
             self.publish([self.ledger.beat(subtree) for subtree in list(self.ledger.heads)])
@@ -300,7 +302,7 @@
         if subtree not in reader.owed:
             reader.owed[subtree] = None
             if len(reader.owed) == 1:
-                gevent.spawn(self.deliver, reader)
+                self.loop.spawn(self.deliver, reader)
 
     def deliver(self, reader: Reader) -> None:
         """One after the other, as fast as the reader takes them; a full pipe holds up nobody else."""
@@ -311,7 +313,7 @@
                 parts = codec.encode(message)
                 while not self.pass_on(reader, parts):
                     self.counts["waited"] += 1
-                    gevent.sleep(0.01)
+                    self.loop.sleep(0.01)
                     if self.readers.get(reader.uid) is not reader:
                         return
             del reader.owed[subtree]
--- a/hollyridge/core/loop.py
+++ b/hollyridge/core/loop.py
@@ -19,8 +19,9 @@
 
 
 class Loop:
-    """Runs a machine until `stop`. `nudge` after anything was told to it."""
+    """Runs a machine until `stop`. `nudge` after anything was told to it. `spawn` and `sleep` are for the fronts."""
 
+    spawn, sleep = staticmethod(gevent.spawn), staticmethod(gevent.sleep)
     LEAST = 0.0005  # s between two runs, so that what comes together is decided together
 
     def __init__(self, machine: Machine, clock=monotonic_us) -> None:
--- a/hollyridge/lab/agent.py
+++ b/hollyridge/lab/agent.py
@@ -25,7 +25,8 @@
     """Its list is kept through breaks and said again on every new stream. Whoever calls it hears late itself."""
 
     def __init__(self, address: tuple[str, int], fleet: str, record: Recorder,
-                 spawn: Callable = gevent.spawn) -> None:
+                 spawn: Callable = gevent.spawn, number: int = 0) -> None:
+        self.who = f"agent-{number}"
         self.address, self.fleet, self.record = address, fleet, record
         self.known: dict[str, Known] = {}
         self.left: dict[str, None] = {}
@@ -65,8 +66,8 @@
             stream = self.stream
             try:
                 client = Registrar(self.address, self.fleet,
-                                   heard=partial(self.record.frame, "heard", "agent", stream),
-                                   said=partial(self.record.frame, "said", "agent", stream))
+                                   heard=partial(self.record.frame, "heard", self.who, stream),
+                                   said=partial(self.record.frame, "said", self.who, stream))
                 self.told = {}
                 self.due.set()
                 while True:
@@ -77,7 +78,7 @@
                     elif not self.alive(client):
                         raise LostError("closed by the service")
             except (OSError, LostError, RefusedError) as trouble:
-                self.record("stream", who="agent", stream=stream, up=False, why=str(trouble))
+                self.record("stream", who=self.who, stream=stream, up=False, why=str(trouble))
                 gevent.sleep(0.2)
 
     @staticmethod
--- a/hollyridge/lab/cast.py
+++ b/hollyridge/lab/cast.py
@@ -32,7 +32,7 @@
             if name in ("", one.name if isinstance(one, Task) else one.uid):
                 for attribute, value in what.items():
                     if hasattr(one, attribute):
-                        setattr(one, attribute, set(value) if attribute == "cut" else value)
+                        setattr(one, attribute, set(value) if attribute in ("cut", "away") else value)
 
     def do_factor(self, name: str, cause: str, value: float) -> None:
         """What a trouble makes of the RPCs of one proxy, or of all: times so many; troubles multiply."""
@@ -48,6 +48,11 @@
             if proxy.uid == name:
                 proxy.stalled_until = proxy.world.now() + round(seconds * 1e6)
 
+    def do_leave(self, name: str, far: list[int]) -> None:
+        """A proxy's stream ends if it goes to one of these assigners."""
+        if name in self.proxies and self.proxies[name].gateway.way in far:
+            self.proxies[name].hang_up()
+
     def do_break(self, name: str) -> None:
         """End the stream to the assigner, of one proxy or of all."""
         for proxy in list(self.proxies.values()):
--- a/hollyridge/lab/checker.py
+++ b/hollyridge/lab/checker.py
@@ -58,6 +58,14 @@
     return f"{member.host}:{member.port}"
 
 
+class Span(NamedTuple):
+    """From when till when a proxy was joined to which assigner."""
+
+    since: int
+    till: int
+    assigner: int
+
+
 class Seen(NamedTuple):
     """`table` is the subtree where the protocol tells it; `version` the decision's number."""
 
@@ -106,11 +114,15 @@
     def __init__(self, rows: Iterable[dict], tables: bool = False) -> None:
         """With `tables`, every table that a proxy began to hold is kept."""
         self.rows, self.keep = list(rows), tables
-        self.told: dict[str, list[Told]] = defaultdict(list)
-        self.joined: dict[str, list[list[int]]] = defaultdict(list)  # spans [from, till]
+        self.told: dict[int, dict[str, list[Told]]] = defaultdict(lambda: defaultdict(list))  # by assigner and task
+        self.joined: dict[str, list[Span]] = defaultdict(list)
+        self.goes_to: dict[str, int] = defaultdict(int)  # the assigner of its stream
         self.empty: dict[tuple[str, str], list[list[int]]] = defaultdict(list)
         self.messages: dict[str, list[tuple[int, int, int]]] = defaultdict(list)  # (time, number, lines)
-        self.starts = [row["t"] for row in self.rows if row["k"] == "assigner" and row["up"]]
+        self.starts: dict[int, list[int]] = defaultdict(list)  # by assigner
+        for row in self.rows:
+            if row["k"] == "assigner" and row["up"]:
+                self.starts[row.get("number", 0)].append(row["t"])
         self.zone: dict[str, str] = {}
         self.tables: list[Seen] = []  # every table that a proxy held, when it began to
         self.end = self.rows[-1]["t"] if self.rows else 0
@@ -132,10 +144,12 @@
             elif kind == "said":
                 number, message = codec.decode(frame_of(row))
                 asked[row["who"], row["stream"], number] = row["t"], message
-            elif kind == "stream" and not row["up"]:
+            elif kind == "stream" and row["up"]:
+                self.goes_to[row["who"]] = row.get("assigner", 0)
+            elif kind == "stream":
                 spans = self.joined.get(row["who"])
-                if spans and spans[-1][1] < 0:
-                    spans[-1][1] = row["t"]
+                if spans and spans[-1].till < 0:
+                    spans[-1] = spans[-1]._replace(till=row["t"])
                 for group in groups.get(row["who"], ()):
                     gaps = self.empty.get((row["who"], group))
                     if gaps and gaps[-1][1] < 0:
@@ -144,14 +158,14 @@
                 self.subscribed(row, clones, groups)
             elif kind == "heard":
                 number, message = codec.decode(frame_of(row))
-                if row["who"] == "agent":
+                if row["who"].startswith("agent"):
                     request = asked.pop((row["who"], row["stream"], number), None)
                     if request and message.code in (codec.Code.OK, codec.Code.ALREADY_REGISTERED):
-                        self.learn(*request)
+                        self.learn(self.told[int(row["who"].partition("-")[2] or 0)], *request)
                     continue
                 who = row["who"]
                 if isinstance(message, codec.RegisterReply) and message.code == 0:
-                    self.joined[who].append([row["t"], -1])
+                    self.joined[who].append(Span(row["t"], -1, self.goes_to[who]))
                     for group in groups.get(who, ()):  # what it holds from an earlier stream may be nothing
                         if group in held[who].tables and not held[who].lines(group):
                             self.gap(who, group, True, row["t"])
@@ -167,9 +181,11 @@
                             name_of(m): float(e.weight) for m, e in held[who].lines(group.name).items()}))
                     for group in held[who].fresh:
                         self.gap(who, group, not held[who].lines(group), row["t"])
-        for spans in (*self.joined.values(), *self.empty.values()):
-            for span in spans:
-                span[1] = span[1] if span[1] >= 0 else self.end
+        for gaps in self.empty.values():
+            for gap in gaps:
+                gap[1] = gap[1] if gap[1] >= 0 else self.end
+        for who, spans in self.joined.items():
+            self.joined[who] = [span if span.till >= 0 else span._replace(till=self.end) for span in spans]
 
     def gap(self, who: str, group: str, bare: bool, at: int) -> None:
         gaps = self.empty[who, group]
@@ -184,7 +200,7 @@
         listener = clones[who]
         joined, lines, version, changed = listener.take(row["stream"], parts_of(row))
         if joined:
-            self.joined[who].append([row["t"], -1])
+            self.joined[who].append(Span(row["t"], -1, self.goes_to[who]))
             for method, some in listener.client.tables.lines.items():
                 self.gap(who, method, not some, row["t"])
         if lines:
@@ -197,35 +213,44 @@
                                             tables.versions[method], some))
                 self.gap(who, method, not some, row["t"])
 
-    def learn(self, at: int, message: codec.Message) -> None:
+    @staticmethod
+    def learn(told: dict[str, list[Told]], at: int, message: codec.Message) -> None:
         if isinstance(message, codec.Register):
             for _, members in message.groups:
                 for member in members:
                     words = read_label(member.label)
                     up = figure(words, "up", 0, 1e9) or 0.0
-                    self.told[name_of(member)].append(
+                    told[name_of(member)].append(
                         Told(at, "ready", words.get("run", ""), at - round(up * 1e6)))
         elif isinstance(message, codec.SetMembers):
             for _, states in message.groups:
                 for state in states:
-                    past = self.told[name_of(state.member)]
+                    past = told[name_of(state.member)]
                     last = past[-1] if past else Told(at, "ready", "", at)
                     past.append(last._replace(at=at, state="draining" if state.quiesce else "ready"))
         elif isinstance(message, codec.Deregister):
             for _, members in message.groups:
                 for member in members:
-                    self.told[name_of(member)].append(Told(at, "gone", "", at))
+                    told[name_of(member)].append(Told(at, "gone", "", at))
+
+    def joined_at(self, proxy: str, at: int) -> Span | None:
+        """The span in which this proxy is joined at that time."""
+        for span in reversed(self.joined.get(proxy, [])):
+            if span.since <= at:
+                return span if at <= span.till else None
+        return None
 
-    def joined_since(self, proxy: str, at: int) -> int:
-        """Since when this proxy has been joined at that time; -1 if it is not."""
-        for since, till in reversed(self.joined.get(proxy, [])):
-            if since <= at:
-                return since if at <= till else -1
-        return -1
+    def run_of(self, proxy: str, at: int) -> tuple[int, int]:
+        """The assigner of the last stream that this proxy had joined by then, and when that run of it began."""
+        past = [span for span in self.joined.get(proxy, []) if span.since <= at]
+        number = past[-1].assigner if past else 0
+        return number, self.began(number, at)
 
-    def assigner_since(self, at: int) -> int:
-        index = bisect.bisect_right(self.starts, at)
-        return self.starts[index - 1] if index else -1
+    def began(self, assigner: int, at: int) -> int:
+        """When the run of an assigner that is on at that time began; -1 before the first."""
+        starts = self.starts[assigner]
+        index = bisect.bisect_right(starts, at)
+        return starts[index - 1] if index else -1
 
 
 def check(seen: Evidence, figures: Figures) -> list[Verdict]:
@@ -239,8 +264,22 @@
 
 def bare(seen: Evidence, figures: Figures) -> Verdict:
     """No joined proxy without a line while a warm ready task is listed."""
-    spans = []  # when some task was listed ready and warm
-    for past in seen.told.values():
+    warm = {assigner: warm_spans(seen, figures, tasks.values()) for assigner, tasks in seen.told.items()}
+    worst, where = 0, "no proxy was ever without a line"
+    for (proxy, group), gaps in seen.empty.items():
+        for begin, end in gaps:
+            joined = seen.joined_at(proxy, begin)
+            for first, last in warm.get(joined.assigner, ()) if joined else ():
+                lasted = min(end, last) - max(begin, first)
+                if lasted > worst:
+                    worst, where = lasted, f"{proxy} without a line for {group} for {lasted / 1e6:.2f} s"
+    return verdict(1, worst / figures.bare, where)
+
+
+def warm_spans(seen: Evidence, figures: Figures, pasts: Iterable[list[Told]]) -> list[list[int]]:
+    """When some task was listed ready and warm."""
+    spans = []
+    for past in pasts:
         for told, after in zip(past, [*past[1:], None]):
             if told.state == "ready":
                 begin = max(told.at, told.started + figures.warm_up)
@@ -254,14 +293,7 @@
             merged[-1][1] = max(merged[-1][1], end)
         else:
             merged.append([begin, end])
-    worst, where = 0, "no proxy was ever without a line"
-    for (proxy, group), gaps in seen.empty.items():
-        for begin, end in gaps:
-            for first, last in merged:
-                lasted = min(end, last) - max(begin, first)
-                if lasted > worst:
-                    worst, where = lasted, f"{proxy} without a line for {group} for {lasted / 1e6:.2f} s"
-    return verdict(1, worst / figures.bare, where)
+    return merged
 
 
 def twice(seen: Evidence, figures: Figures) -> Verdict:
@@ -286,26 +318,27 @@
     for row in seen.rows:
         if row["k"] == "try":
             tries[row["task"]].append(row)
-    for task, past in seen.told.items():
+    for assigner, task, past in ((k, task, past) for k, tasks in seen.told.items() for task, past in tasks.items()):
         for at, (told, after) in enumerate(zip(past, [*past[1:], None])):
             if told.state == "ready":
                 continue
             closed = told.at  # since the first news of it to this assigner
             for before in reversed(past[:at]):
-                if before.state == "ready" or before.at < seen.assigner_since(told.at):
+                if before.state == "ready" or before.at < seen.began(assigner, told.at):
                     break
                 closed = before.at
             until = after.at if after else seen.end
             for row in tries[task]:
                 if not told.at < row["t"] < until:
                     continue
-                joined = seen.joined_since(row["proxy"], row["t"])
-                if joined < 0 or seen.assigner_since(row["t"]) != seen.assigner_since(told.at):
+                joined = seen.joined_at(row["proxy"], row["t"])
+                if joined is None or joined.assigner != assigner or \
+                        seen.began(assigner, row["t"]) != seen.began(assigner, told.at):
                     continue
-                used = (row["t"] - max(closed, joined)) / figures.grace
+                used = (row["t"] - max(closed, joined.since)) / figures.grace
                 if used > worst:
                     worst = used
-                    where = (f"{row['proxy']} sent to {task} {(row['t'] - max(closed, joined)) / 1e6:.2f} s after"
+                    where = (f"{row['proxy']} sent to {task} {(row['t'] - max(closed, joined.since)) / 1e6:.2f} s after"
                              f" it was told {told.state}")
     return verdict(3, worst, where)
 
@@ -330,8 +363,9 @@
             part = up["cold_from"] + (1 - up["cold_from"]) * age / up["cold_us"]
             allowed = figures.fall_multiple * up["cores"] * up["speed"] * part * figures.fall
             whole = sum(work for _, work, _ in window)
-            known = next((t.at for t in seen.told.get(row["task"], ()) if t.run == row["run"]), None)
-            if known is None:
+            known = {k: t.at for k, tasks in seen.told.items()
+                     for t in reversed(tasks.get(row["task"], ())) if t.run == row["run"]}
+            if not known:
                 continue
             aware = sum(work for at, work, proxy in window if knew(seen, figures, proxy, known, at))
             used = whole / allowed
@@ -343,13 +377,15 @@
     return verdict(4, worst, where + (f"; {fell} fell over" if fell else ""))
 
 
-def knew(seen: Evidence, figures: Figures, proxy: str, known: int, at: int) -> bool:
-    """Whether the proxy's last message by then was sent knowing of a start told at `known`."""
-    if at >= known + figures.grace:
-        return seen.joined_since(proxy, at) >= 0
+def knew(seen: Evidence, figures: Figures, proxy: str, known: dict[int, int], at: int) -> bool:
+    """Whether the proxy's last message by then was sent knowing of a start, which was told to assigners when `known`
+    has it, or the assigner that it is joined to has known for the grace."""
+    joined = seen.joined_at(proxy, at)
+    if joined is not None and joined.assigner in known and at >= known[joined.assigner] + figures.grace:
+        return True
     messages = seen.messages.get(proxy, [])
     index = bisect.bisect_right(messages, (at, 1 << 62, 0)) - 1
-    return index >= 0 and messages[index][0] >= known
+    return index >= 0 and messages[index][0] >= known.get(seen.run_of(proxy, messages[index][0])[0], 1 << 62)
 
 
 def queue(seen: Evidence, figures: Figures) -> Verdict:
@@ -361,29 +397,31 @@
         if used > worst:
             worst, where = used, what
 
-    decided: dict[tuple[int, int], float] = defaultdict(float)
-    every = []
+    decided: dict[tuple, float] = defaultdict(float)
+    every: dict[int, list] = defaultdict(list)
     for proxy, messages in seen.messages.items():
         window: deque[int] = deque()
         for at, number, lines in messages:
-            since = max(seen.joined_since(proxy, at), at - figures.messages_over)
+            joined, run = seen.joined_at(proxy, at), seen.run_of(proxy, at)
+            since = max(joined.since if joined else -1, at - figures.messages_over)
             window.append(at)
             while window[0] < since:
                 window.popleft()
             if figures.messages_most:
                 note(len(window) / figures.messages_most, f"{proxy} got {len(window)} messages in the stated span")
-            decided[seen.assigner_since(at), number] += lines + figures.head
-            every.append((at, lines + figures.head))
+            decided[run, number] += lines + figures.head
+            every[run[0]].append((at, lines + figures.head))
     for (_, number), lines in decided.items():
         note(lines / figures.most_waiting, f"{lines:.0f} lines of decision {number} waited at once")
-    every.sort()
-    span, largest = 2 * SECOND, max((lines for _, lines in every), default=0)
-    window, total = deque(), 0.0
-    for at, lines in every:
-        window.append((at, lines))
-        total += lines
-        while window[0][0] <= at - span:
-            total -= window.popleft()[1]
-        allowed = 1.25 * figures.lines_per_s * span / SECOND + largest
-        note(total / allowed, f"{total:.0f} lines within two seconds")
+    span = 2 * SECOND
+    for one in every.values():
+        one.sort()
+        largest, window, total = max(lines for _, lines in one), deque(), 0.0
+        for at, lines in one:
+            window.append((at, lines))
+            total += lines
+            while window[0][0] <= at - span:
+                total -= window.popleft()[1]
+            allowed = 1.25 * figures.lines_per_s * span / SECOND + largest
+            note(total / allowed, f"{total:.0f} lines within two seconds")
     return verdict(5, worst, where)
--- /dev/null
+++ b/hollyridge/lab/cost.py
@@ -0,0 +1,55 @@
+"""What a simulated day costs and where: time by part of the program, by looking at the running frame every so often."""
+
+from __future__ import annotations
+
+import resource
+import sys
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from types import FrameType
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+def part_of(frame: FrameType | None) -> str:
+    """The part of the program whose code runs, or runs a library: its package, or its module at the top."""
+    while frame is not None:
+        try:
+            steps = Path(frame.f_code.co_filename).relative_to(ROOT).parts
+        except ValueError:
+            frame = frame.f_back
+            continue
+        if steps[0] == "lab":
+            return "lab/" + ("stand-ins" if steps[1] in ("proxy.py", "task.py", "world.py", "virtual.py", "streams.py",
+                                                         "sockets.py", "physics.py", "record.py") else "checker")
+        return steps[0].removesuffix(".py")
+    return "elsewhere"
+
+
+class Meter(threading.Thread):
+    """Measures from `start` to `stop`."""
+
+    EVERY = 0.005  # s
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.seen: Counter[str] = Counter()
+        self.over = threading.Event()
+        self.whose = threading.get_ident()
+        self.begun, self.cpu = time.monotonic(), time.process_time()
+
+    def run(self) -> None:
+        while not self.over.wait(self.EVERY):
+            self.seen[part_of(sys._current_frames().get(self.whose))] += 1
+
+    def stop(self, simulated_s: float) -> dict:
+        """Seconds, megabytes, and the part of the samples by part of the program."""
+        self.over.set()
+        self.join()
+        cpu, whole = time.process_time() - self.cpu, max(1, sum(self.seen.values()))
+        return {"simulated_s": simulated_s, "wall_s": round(time.monotonic() - self.begun, 2), "cpu_s": round(cpu, 2),
+                "cpu_per_s": round(cpu / simulated_s, 4),
+                "rss_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
+                "parts": {part: round(count / whole, 3) for part, count in self.seen.most_common()}}
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -42,7 +42,7 @@
     the agent's line to it. `tick(part)` is told how far the day is."""
 
     def __init__(self, script: Script, stage, seed: int | None = None,
-                 tick: Callable[[float], None] = lambda part: None, fronts: tuple[str, ...] = ("sasp",)) -> None:
+                 tick: Callable[[float], None] = lambda part: None) -> None:
         self.script, self.stage, self.tick = script, stage, tick
         self.world = stage.world
         self.terms = script.terms
@@ -53,8 +53,8 @@
         self.proxies: dict[str, int] = {}  # uid: zone
         self.proxy_terms: dict[str, dict] = {}
         self.started: dict[str, object] = {}
-        self.fronts = fronts
-        self.runs = 0
+        self.fronts = script.fleet.fronts
+        self.runs, self.assigners = 0, self.terms.assigner.assigners
         self.troubles: list[dict] = []
         self.begun: set[str] = set()
         self.failures: list[str] = []
@@ -68,13 +68,18 @@
             raise DayError(f"zone {self.zones[zone]}: a day is played on networks of 127.0.0.0/8 only")
         return str(network.network_address + number)
 
-    def start_assigner(self) -> None:
-        self.stage.start_assigner()
-        self.record("assigner", up=True)
+    def start_assigner(self, number: int) -> None:
+        self.stage.start_assigner(number)
+        self.record("assigner", number=number, up=True)
 
-    def kill_assigner(self) -> None:
-        self.stage.kill_assigner()
-        self.record("assigner", up=False)
+    def kill_assigner(self, number: int) -> None:
+        self.stage.kill_assigner(number)
+        self.record("assigner", number=number, up=False)
+
+    def tell(self, what: str, *words, silent: bool = False) -> None:
+        """Each assigner's agent hears of it, in its own time."""
+        for agent in self.agents:
+            self.world.later(self.notice(silent), getattr(agent, what), *words)
 
     def heard(self, facts: dict) -> None:
         if "started" in facts:
@@ -82,7 +87,7 @@
         elif "fell" in facts:
             unit = self.units[facts["fell"]]
             unit.up = False
-            self.world.later(self.notice(), self.agent.gone, unit.key, unit.run)
+            self.tell("gone", unit.key, unit.run)
 
     def notice(self, silent: bool = False) -> float:
         low, high = self.script.day.silent_notice_ms if silent else self.script.day.notice_ms
@@ -120,14 +125,17 @@
         names = len(self.zones)
         self.task_houses = [self.stage.house(f"tasks-{z}", self.heard) for z in range(names)]
         self.proxy_houses = [self.stage.house(f"proxies-{z}", self.heard) for z in range(names)]
-        self.start_assigner()
-        self.agent = self.stage.agent()
+        for number in range(self.assigners):
+            self.start_assigner(number)
+        self.agents = [self.stage.agent(number) for number in range(self.assigners)]
         self.spare = 10
         for k in range(self.script.fleet.tasks):
             self.new_unit(k % names, cold=False)
         for unit in self.units.values():
-            self.agent.running(unit.key, unit.name, unit.run, unit.born)
-        self.stage.settle(self.agent)
+            for agent in self.agents:
+                agent.running(unit.key, unit.name, unit.run, unit.born)
+        for agent in self.agents:
+            self.stage.settle(agent)
         weights = [self.rng.lognormvariate(0, 0.5) for _ in range(self.script.fleet.proxies)]
         for k, weight in enumerate(weights):
             uid, zone = f"gw-{k}", k % names
@@ -137,6 +145,7 @@
             self.proxy_terms[uid] = dict(
                 uid=uid, host=self.address(zone, 0x8000 + k), zone=self.zones[zone],
                 rate=self.script.load.rpcs_per_s * weight / sum(weights), standing=standing,
+                home=self.rng.randrange(self.assigners) if self.assigners > 1 else 0,
                 plan=self.plan(self.fronts[k // names % len(self.fronts)]),
                 seed=self.rng.randrange(1 << 30))
             self.proxy_houses[zone].do("proxy", **self.proxy_terms[uid])
@@ -178,14 +187,12 @@
 
     def replace(self, unit: Unit) -> None:
         new = self.new_unit(unit.zone, cold=True)
-        self.world.later(self.notice(), self.agent.running, new.key, new.name, new.run, new.born)
-        self.world.sleep(self.notice())
-        self.agent.drains(unit.key)
-        self.world.sleep(self.terms.promises.drain_grace_s + 1.5)
+        self.tell("running", new.key, new.name, new.run, new.born)
+        self.tell("drains", unit.key)
+        self.world.sleep(self.script.day.notice_ms[1] / 1e3 + self.terms.promises.drain_grace_s + 1.5)
         if unit.up:
             self.stop_task(unit)
-            self.world.sleep(self.notice())
-            self.agent.gone(unit.key, unit.run)
+            self.tell("gone", unit.key, unit.run)
 
     def zone_lost(self, trouble: TroubleSection) -> None:
         """Its tasks die and come back cold; `all`: they fall silent, and its proxies die with them."""
@@ -204,14 +211,14 @@
                 self.task_houses[unit.zone].do("set", name=unit.name, silent=True)
             else:
                 self.stop_task(unit)
-            self.world.later(self.notice(silent), self.agent.gone, unit.key, unit.run)
+            self.tell("gone", unit.key, unit.run, silent=silent)
 
     def come_back(self, units: list[Unit]) -> None:
         """Each cold, at its old address."""
         for unit in units:
             self.stop_task(unit)
             self.run_task(unit, cold=True)
-            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.tell("running", unit.key, unit.name, unit.run, unit.born)
 
     def vanish(self, trouble: TroubleSection) -> None:
         """Machines go silent: no answer, no reset connection."""
@@ -239,7 +246,7 @@
         count = max(1, round((trouble.size - 1) * len(self.standing_units())))
         for made in range(1, count + 1):
             unit = self.new_unit(made % len(self.zones), cold=True)
-            self.world.later(self.notice(), self.agent.running, unit.key, unit.name, unit.run, unit.born)
+            self.tell("running", unit.key, unit.name, unit.run, unit.born)
             self.scale(trouble, 1 + (trouble.size - 1) * trouble.extra * made / count)
             self.world.sleep(trouble.for_s / count)
 
@@ -278,20 +285,25 @@
                 *((self.proxy_houses[z], [self.octet(zone)]) for z in others)]
 
     def zone_cut(self, trouble: TroubleSection) -> None:
-        """Tasks of one zone can't be reached from the others; `all`: nor the other way round, and the streams of the
-        zone's proxies break and stay so."""
+        """Tasks of one zone can't be reached from the others; `all`: nor the other way round, and streams and reports
+        reach assigners of their own side only. A lone assigner is on the other side; of several each zone has some."""
         zone = self.zones.index(self.zone_of(trouble))
         others = [z for z in range(len(self.zones)) if z != zone]
         ways = self.links(zone, others)
         for house, ends in ways if trouble.form == "all" else ways[1:]:
             house.do("set", name="", cut=ends)
         if trouble.form == "all":
-            self.proxy_houses[zone].do("set", name="", away=True)
-            self.proxy_houses[zone].do("break", name="")
+            inside = [k for k in range(self.assigners) if self.assigners > 1 and k % len(self.zones) == zone]
+            for at, house in enumerate(self.proxy_houses):
+                far = [k for k in range(self.assigners) if (k in inside) != (at == zone)]
+                house.do("set", name="", away=far)
+                for uid in [uid for uid, z in self.proxies.items() if z == at]:
+                    house.do("leave", name=uid, far=far)
         self.world.sleep(trouble.for_s)
         for house, _ in ways:
             house.do("set", name="", cut=[])
-        self.proxy_houses[zone].do("set", name="", away=False)
+        for house in self.proxy_houses:
+            house.do("set", name="", away=[])
 
     def slow_link(self, trouble: TroubleSection) -> None:
         """`size` seconds more each way and `extra` of what is sent lost, between one zone and all others or one."""
@@ -404,14 +416,22 @@
     def assigner_stalled(self, trouble: TroubleSection) -> None:
         """It stands still for `size` seconds, again every `extra`; its sockets stay open."""
         until = self.world.now() + trouble.for_s * 1e6
+        some = self.some_assigners(trouble)
         while self.world.now() < until:
-            self.stage.stall_assigner(trouble.size)
-            self.world.sleep(max(0.1, trouble.extra))
+            for number in some:
+                self.world.spawn(self.stage.stall_assigner, number, trouble.size)
+            self.world.sleep(trouble.size + max(0.1, trouble.extra))
+
+    def some_assigners(self, trouble: TroubleSection) -> list[int]:
+        return sorted(self.some(list(range(self.assigners)), trouble.part)) if self.assigners > 1 else [0]
 
     def assigner_killed(self, trouble: TroubleSection) -> None:
-        self.kill_assigner()
+        killed = self.some_assigners(trouble)
+        for number in killed:
+            self.kill_assigner(number)
         self.world.sleep(trouble.for_s)
-        self.start_assigner()
+        for number in killed:
+            self.start_assigner(number)
 
     def proxies_killed(self, trouble: TroubleSection) -> None:
         killed = self.some(list(self.proxies), trouble.part)
@@ -426,7 +446,7 @@
     def raise_proxies(self, uids: list[str]) -> None:
         for uid in uids:  # it comes back with a standing table of what is listed now
             zone = self.proxies[uid]
-            home = [key for key, known in self.agent.told.items() if not known.draining]
+            home = [key for key, known in self.agents[0].told.items() if not known.draining]
             near = [key for key in home if self.zones[zone] == self.zones[self.zone_at(key)]] or home
             self.proxy_terms[uid]["standing"] = self.rng.sample(near, min(5, len(near)))
             self.proxy_terms[uid]["seed"] += 1
--- a/hollyridge/lab/figures.py
+++ b/hollyridge/lab/figures.py
@@ -33,7 +33,7 @@
     seconds = sorted(by_time)
     runs = [[by_time[s] for s in seconds[i:i + 10]] for i in range(max(1, len(seconds) - 9))]
     windows = [sum(got for got, _ in run) / max(sum(worth for _, worth in run), 1e-9) for run in runs]
-    numbers = {(seen.assigner_since(at), number) for some in seen.messages.values() for at, number, _ in some}
+    numbers = {(seen.run_of(who, at), number) for who, some in seen.messages.items() for at, number, _ in some}
     return {
         "rpcs": sum(1 for row in rows if row["k"] == "done"), "ok": ok, "tries": tries,
         "served": round(sum(earned.values()) / max(sum(asked.values()), 1e-9), 4),
@@ -59,10 +59,14 @@
         if row["k"] == "try":
             last[row["task"]] = row["t"]
     spans = []
-    for task, past in seen.told.items():
-        closed = list(takewhile(lambda told: told.state != "ready", reversed(past)))
-        if closed:  # since the first word of it: draining comes before gone
-            spans.append(max(0, last[task] - closed[-1].at) / 1e6)
+    closings: dict[str, list[int]] = defaultdict(list)
+    for tasks in seen.told.values():
+        for task, past in tasks.items():
+            closed = list(takewhile(lambda told: told.state != "ready", reversed(past)))
+            closings[task].append(closed[-1].at if closed else -1)
+    for task, moments in closings.items():
+        if min(moments) >= 0:  # since the first word of it to the last assigner: draining comes before gone
+            spans.append(max(0, last[task] - max(moments)) / 1e6)
     spans.sort()
     recovered = {}
     for row in seen.rows:
--- a/hollyridge/lab/live.py
+++ b/hollyridge/lab/live.py
@@ -77,66 +77,71 @@
 class LiveStage:
     """`policy` names another decision module of the laboratory."""
 
-    def __init__(self, script: Script, folder: Path, policy: str = "", fronts: tuple[str, ...] = ("sasp",)) -> None:
-        self.script, self.folder, self.policy, self.fronts = script, folder, policy, fronts
+    def __init__(self, script: Script, folder: Path, policy: str = "") -> None:
+        self.script, self.folder, self.policy = script, folder, policy
         self.world = LiveWorld()
         self.record = Recorder(folder / "day.jsonl")
-        self.ports = free_port(), free_port(), free_ports(3)
-        self.addresses = {name: ["127.0.0.1", port] for name, port in zip(("sasp", "otlp", "clone"), self.ports)}
+        count = script.terms.assigner.assigners
+        self.ports = [(free_port(), free_port(), free_ports(3)) for _ in range(count)]
+        self.addresses = {name: [["127.0.0.1", ports[at]] for ports in self.ports]
+                          for at, name in enumerate(("sasp", "otlp", "clone"))}
         self.houses: list[House] = []
         self.failures: list[str] = []
-        self.assigner = None
-        self.assigner_starts = 0
-        self.settings_file()
+        self.assigners: list = [None] * count
+        self.starts = 0
+        for number in range(count):
+            self.settings_file(number)
 
     def house(self, name: str, heard: Callable[[dict], None]) -> House:
         self.houses.append(House(self.folder, name, heard))
         return self.houses[-1]
 
-    def agent(self) -> Agent:
-        return Agent(("127.0.0.1", self.ports[0]), self.script.terms.sasp.fleet, self.record)
+    def agent(self, number: int) -> Agent:
+        return Agent(("127.0.0.1", self.ports[number][0]), self.script.terms.sasp.fleet, self.record, number=number)
 
     def settle(self, agent: Agent) -> None:
         agent.synced.wait(5)
 
-    def settings_file(self) -> Path:
+    def settings_file(self, number: int) -> Path:
         parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
         parser.read(self.script.path.parent / self.script.day.settings)
-        clone = f"127.0.0.1:{self.ports[2]}" if "clone" in self.fronts else ""
+        sasp, otlp, clone = self.ports[number]
+        clone = f"127.0.0.1:{clone}" if "clone" in self.script.fleet.fronts else ""
         changes = [(*place, value) for place, value in self.script.overrides.items()]
-        for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{self.ports[0]}"),
-                                    ("otlp", "listen", f"127.0.0.1:{self.ports[1]}"),
+        for section, key, value in (*changes, ("sasp", "listen", f"127.0.0.1:{sasp}"),
+                                    ("otlp", "listen", f"127.0.0.1:{otlp}"),
                                     ("clone", "listen", clone), ("log", "format", "json"),
                                     ("log", "status_every_s", "1")):
             if not parser.has_section(section):
                 parser.add_section(section)
             parser.set(section, key, value)
-        path = self.folder / "assigner.ini"
+        path = self.folder / f"assigner-{number}.ini"
         with open(path, "w") as out:
             parser.write(out)
         return path
 
-    def start_assigner(self) -> None:
-        self.assigner_starts += 1
+    def start_assigner(self, number: int) -> None:
+        self.starts += 1
         program = ["-m", "hollyridge.lab.assigner", self.policy] if self.policy else \
             ["-m", "hollyridge.cli.main", "serve"]
-        log = open(self.folder / f"assigner-{self.assigner_starts}.log", "wb")
-        self.assigner = subprocess.Popen([sys.executable, *program, str(self.folder / "assigner.ini")], stderr=log)
+        log = open(self.folder / f"assigner-{number}-{self.starts}.log", "wb")
+        assigner = self.assigners[number] = subprocess.Popen(
+            [sys.executable, *program, str(self.folder / f"assigner-{number}.ini")], stderr=log)
         for _ in range(200):
-            if self.assigner.poll() is not None:
-                raise DayError(f"the assigner ended with {self.assigner.returncode}")
+            if assigner.poll() is not None:
+                raise DayError(f"the assigner ended with {assigner.returncode}")
             try:
-                socket.create_connection(("127.0.0.1", self.ports[1]), timeout=1).close()
+                socket.create_connection(("127.0.0.1", self.ports[number][1]), timeout=1).close()
                 break
             except OSError:
                 gevent.sleep(0.05)
 
-    def kill_assigner(self) -> None:
-        self.assigner.send_signal(signal.SIGKILL)
-        self.assigner.wait()
+    def kill_assigner(self, number: int) -> None:
+        self.assigners[number].send_signal(signal.SIGKILL)
+        self.assigners[number].wait()
 
-    def stall_assigner(self, seconds: float) -> None:
-        stalled = self.assigner
+    def stall_assigner(self, number: int, seconds: float) -> None:
+        stalled = self.assigners[number]
         stalled.send_signal(signal.SIGSTOP)
         gevent.sleep(seconds)
         if stalled.poll() is None:
@@ -169,21 +174,26 @@
                 if b'"status"' in line and line.startswith(b"{"):
                     core = msgspec.json.decode(line).get("core", {})
                     if "at" in core:
-                        rows.append({"k": "state", "t": core["at"] - CLOCK_ABOVE, **{key: core[key] for key in STATE},
-                                     **core["module"]})
+                        number = int(path.stem.split("-")[1])
+                        rows.append({"k": "state", "t": core["at"] - CLOCK_ABOVE, "assigner": number,
+                                     **{key: core[key] for key in STATE}, **core["module"]})
         return rows
 
     def end(self) -> None:
         for house in self.houses[::-1]:
             house.end()
-        if self.assigner is not None and self.assigner.poll() is None:
-            self.assigner.send_signal(signal.SIGCONT)
-            self.assigner.terminate()
-            try:
-                code = self.assigner.wait(timeout=5)
-                if code:
-                    self.failures.append(f"the assigner ended with {code}")
-            except subprocess.TimeoutExpired:
-                self.assigner.kill()
-                self.assigner.wait()
-                self.failures.append("the assigner did not end on SIGTERM")
+        for assigner in self.assigners:
+            if assigner is not None and assigner.poll() is None:
+                self.end_assigner(assigner)
+
+    def end_assigner(self, assigner) -> None:
+        assigner.send_signal(signal.SIGCONT)
+        assigner.terminate()
+        try:
+            code = assigner.wait(timeout=5)
+            if code:
+                self.failures.append(f"the assigner ended with {code}")
+        except subprocess.TimeoutExpired:
+            assigner.kill()
+            assigner.wait()
+            self.failures.append("the assigner did not end on SIGTERM")
--- a/hollyridge/lab/parity.py
+++ b/hollyridge/lab/parity.py
@@ -23,7 +23,7 @@
     sources: dict[tuple, set] = defaultdict(set)
     for row in seen.tables:
         if row.table:
-            run = seen.assigner_since(row.at)
+            run = seen.run_of(row.proxy, row.at)
             known[run, row.table].append((row.version, row))
             sources[run, seen.zone[row.proxy], row.group].add(row.table)
     for some in known.values():
@@ -33,7 +33,7 @@
     for row in seen.tables:
         if row.table:
             continue
-        run = seen.assigner_since(row.at)
+        run = seen.run_of(row.proxy, row.at)
         best, rival = None, None
         for table in sorted(sources[run, seen.zone[row.proxy], row.group]):
             some = known[run, table]
@@ -56,7 +56,7 @@
 def open_lines(seen: Evidence, row: Seen) -> dict[str, float]:
     lines = {}
     for task, weight in row.lines.items():
-        past = [told for told in seen.told.get(task, ()) if told.at <= row.at]
+        past = [told for told in seen.told[seen.run_of(row.proxy, row.at)[0]].get(task, ()) if told.at <= row.at]
         if past and past[-1].state == "ready":
             lines[task] = weight
     return lines
--- a/hollyridge/lab/plots.py
+++ b/hollyridge/lab/plots.py
@@ -104,12 +104,47 @@
         axes.bar(list(lines), list(lines.values()), color="#069")
         axes.set_xlabel("second")
         marked(axes)
+    states: dict[int, list[dict]] = defaultdict(list)
+    for row in rows:
+        if row["k"] == "state":
+            states[row.get("assigner", 0)].append(row)
+
+    def told(key: str, title: str = ""):
+        def draw(axes) -> None:
+            for number, some in sorted(states.items()):
+                axes.plot([(row["t"] - start) / 1e6 for row in some], [row.get(key) or 0.0 for row in some], lw=0.9,
+                          label=f"assigner {number}")
+            axes.set_ylabel(title)
+            axes.legend(fontsize=7, loc="upper left")
+            marked(axes)
+        return draw
+
+    def gate(axes) -> None:
+        for number, some in sorted(states.items()):
+            times = [(row["t"] - start) / 1e6 for row in some]
+            for key, style, title in (("price", "-", "U"), ("gain", "--", "gain")):
+                axes.step(times, [row.get(key) or 0.0 for row in some], where="post", lw=0.9, ls=style,
+                          label=f"{title}, assigner {number}")
+        axes.legend(fontsize=7, loc="upper left")
+        marked(axes)
+
+    def levels(axes) -> None:
+        for number, some in sorted(states.items()):
+            times = [(row["t"] - start) / 1e6 for row in some]
+            for zone in range(max((len(row.get("levels") or ()) for row in some), default=0)):
+                axes.plot(times, [row["levels"][zone] for row in some], lw=0.9, label=f"{number}, table {zone}")
+        axes.set_ylim(0, 1.05)
+        axes.legend(fontsize=7, loc="lower left")
+        marked(axes)
+    more = [("Lines that wait in an assigner's channel", picture(told("waiting"))),
+            ("The gate: price U of a push, and the gain that it is held against", picture(gate)),
+            ("Levels: what part is let in", picture(levels))] if states else []
     lead = [f"{len(done)} RPCs, {sum(row['ok'] for row in done)} ok, {len(seen.messages)} proxies; orange lines mark "
             "where a trouble begins."]
     return write(out, name, lead, [], [
         ("RPCs by the second they came in", picture(outcomes)), ("Time till a good answer", picture(latency)),
         ("Shares of the table that changed most, as one proxy held it", picture(weights)),
-        ("Lines that proxies received, by second", picture(orders))])
+        ("Lines that proxies received, by second", picture(orders)), *more])
 
 
 def comparison_page(rows: list[dict], out: Path, name: str) -> Path:
--- a/hollyridge/lab/policies.py
+++ b/hollyridge/lab/policies.py
@@ -32,6 +32,74 @@
         return orders + joined
 
 
+class Simple:
+    """Tables by zone, changed whenever `weights(zone)` changes. For baselines."""
+
+    def __init__(self, boot: api.Bootstrap, seed: int) -> None:
+        self.boot = boot
+        self.open: dict[int, int] = {}  # zone by task
+        self.said: list[dict[int, float]] = [{} for _ in range(boot.zones)]
+
+    def weights(self, zone: int) -> dict[int, float]:
+        raise NotImplementedError
+
+    def hear(self, now: int, event: api.Event) -> None:
+        pass
+
+    def decide(self, now: int, events: list) -> list:
+        orders: list = []
+        for event in events:
+            self.hear(now, event)
+            if isinstance(event, api.RosterChange):
+                for entry in event.entries:
+                    self.open.pop(entry.task, None)
+                    if entry.state == api.TaskState.READY:
+                        self.open[entry.task] = entry.zone
+            elif isinstance(event, api.Joined):
+                orders.append(api.Attach(event.proxy, event.zone, 0))
+        puts: list = []
+        for zone, said in enumerate(self.said):
+            lines = self.weights(zone)
+            puts += [api.PutLine(0.0, task, zone) for task in said if task not in lines]
+            puts += [api.PutLine(weight, task, zone) for task, weight in lines.items() if said.get(task) != weight]
+            self.said[zone] = lines
+        return puts + orders
+
+
+class Static(Simple):
+    """What each table began with; only closed tasks leave, and others come only when none is left."""
+
+    def weights(self, zone: int) -> dict[int, float]:
+        kept = {task: 1.0 for task in self.said[zone] if task in self.open}
+        return kept or dict.fromkeys(self.open, 1.0)
+
+
+class ZoneOnly(Simple):
+    """Even among the tasks of the proxy's own zone; all others only where it has none."""
+
+    def weights(self, zone: int) -> dict[int, float]:
+        home = [task for task, where in self.open.items() if where == zone]
+        return dict.fromkeys(home or self.open, 1.0)
+
+
+class LeastLatency(Simple):
+    """By the inverse of the mean latency that the zone's proxies last met, pushed as it changes; who has not been heard
+    counts as the best that has."""
+
+    def __init__(self, boot: api.Bootstrap, seed: int) -> None:
+        super().__init__(boot, seed)
+        self.took: list[dict[int, float]] = [{} for _ in range(boot.zones)]
+
+    def hear(self, now: int, event: api.Event) -> None:
+        if isinstance(event, api.TrafficReport) and event.tries > event.bad and event.latency > 0:
+            self.took[event.zone][event.task] = event.latency
+
+    def weights(self, zone: int) -> dict[int, float]:
+        took = {task: us for task, us in self.took[zone].items() if task in self.open}
+        best = min(took.values(), default=1.0)
+        return {task: round(best / took.get(task, best), 2) or 0.01 for task in self.open}
+
+
 class Always(Assigner):
     """The module without the gate: every change that is worth a line is pushed each period."""
 
@@ -84,4 +152,5 @@
         return [*orders, api.WakeAt(9, 100_000)] if any(isinstance(e, api.Woke) for e in events) else orders
 
 
-POLICIES = {"even": Even, "always": Always, "bare": Bare, "deaf": Deaf, "bold": Bold, "chatty": Chatty}
+POLICIES = {"even": Even, "static": Static, "zone": ZoneOnly, "latency": LeastLatency, "always": Always, "bare": Bare,
+            "deaf": Deaf, "bold": Bold, "chatty": Chatty}
--- a/hollyridge/lab/proxy.py
+++ b/hollyridge/lab/proxy.py
@@ -94,7 +94,7 @@
     """`plan` holds what the day says of proxies and clients (see `house`), `rate` its RPCs a second."""
 
     def __init__(self, world, uid: str, host: str, zone: str, rate: float, plan: dict, standing: list[str],
-                 seed: int, record: Recorder) -> None:
+                 seed: int, record: Recorder, home: int = 0) -> None:
         self.world = world
         self.uid, self.host, self.zone, self.rate, self.plan, self.record = uid, host, zone, rate, plan, record
         self.rng = Random(seed)
@@ -105,6 +105,7 @@
                front=plan["front"])
         self.stream, self.deaf, self.pipes = 0, False, {}
         self.gateway = self.open(plan["front"], standing)
+        self.gateway.way = home % self.gateway.ways
         self.out: dict[str, int] = defaultdict(int)
         self.failed: dict[str, int] = defaultdict(int)
         self.avoid_until: dict[str, float] = {}
@@ -116,7 +117,7 @@
         self.factors: dict[str, float] = {}
         self.links: dict[str, list] = {}  # second figure of addresses: seconds more each way, part lost
         self.stalled_until = 0
-        self.away = False  # no stream gets through
+        self.away: set[int] = set()  # assigners that no stream of its reaches
         self.slow_orders = 0.0  # seconds to read a message of orders
         self.gateway.on_change(self.tidy)
         self.gateway.watch = self.watch
@@ -130,18 +131,19 @@
         if front == "sasp":
             how = dict(source=self.host, heard=lambda raw: self.record.frame("heard", self.uid, self.stream, raw),
                        said=lambda raw: self.record.frame("said", self.uid, self.stream, raw))
-            return SaspGateway(tuple(self.plan["sasp"]), self.uid, self.names,
+            return SaspGateway(self.plan["sasp"], self.uid, self.names,
                                {m["name"]: m["group"] for m in self.methods}, how, receive_s=0.5,
                                before=lambda groups: self.apply(sum(len(g.weights) for g in groups)), **terms)
         how = dict(source=self.host, zmq=zmq,
                    heard=lambda parts: self.record.parts("told", self.uid, self.stream, parts))
-        return CloneGateway(tuple(self.plan["clone"]), self.uid, self.names, how, before=self.apply, **terms)
+        return CloneGateway(self.plan["clone"], self.uid, self.names, how, before=self.apply, **terms)
 
     def watch(self, begins: bool) -> None:
-        if begins and self.away:
+        if begins and self.gateway.way in self.away:
             raise ConnectionError("no way to the assigner")
         self.stream += begins
-        self.record("stream", who=self.uid, stream=self.stream, up=begins, why=self.gateway.trouble)
+        self.record("stream", who=self.uid, stream=self.stream, up=begins, why=self.gateway.trouble,
+                    assigner=self.gateway.way)
 
     def apply(self, lines: int) -> None:
         """Applying takes time; one that is deaf reads no further."""
@@ -175,7 +177,7 @@
         return Pipe(task)
 
     def say(self, figures: list[Figure]) -> None:
-        self.reporter.send(tuple(self.plan["otlp"]), figures, gevent.sleep)
+        self.reporter.send(tuple(self.plan["otlp"][self.gateway.way]), figures, gevent.sleep)
 
     def pipe(self, task: str) -> Pipe:
         pipe = self.pipes.get(task)
@@ -292,7 +294,7 @@
                 self.world.later(self.late + self.rng.uniform(0, 0.1), self.post, figures)
 
     def post(self, figures: list[Figure]) -> None:
-        if not self.down:
+        if not self.down and self.gateway.way not in self.away:
             self.say(figures)
 
     def stop(self) -> None:
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -46,10 +46,16 @@
     cold_s: PositiveFloat = 10
     handshake_ms: Annotated[float, Field(ge=0)] = 5
     connections: PositiveInt = 200
+    fronts: list[Literal["sasp", "clone"]] = ["sasp"]
     cache_s: Annotated[float, Field(ge=0)] = 0
     cache_keys: PositiveInt = 200
     cache_gain: Annotated[float, Field(ge=0, lt=1)] = 0.2
 
+    @field_validator("fronts", mode="before")
+    @classmethod
+    def several(cls, value: object) -> object:
+        return value.replace(",", " ").split() if isinstance(value, str) else value
+
 
 class NetSection(Section):
     """One way, in the simulated world; a frame of orders takes `orders_ms`."""
@@ -106,9 +112,11 @@
         self.troubles, self.overrides, self.terms = troubles, overrides, terms
 
 
-def load(path: Path | str, settings: str = "") -> Script:
-    """Read and check a script and the settings it names, or `settings` in their place. Raises FaultsError with all
-    that is wrong."""
+def load(path: Path | str, settings: str = "", fronts: tuple[str, ...] = (), times: float = 1.0,
+         assigners: int = 0) -> Script:
+    """Read and check a script and the settings it names, or `settings` in their place; `fronts` and `assigners` take
+    the place of the script's. Fleet and load are `times` as large, and the channel as a push to all of it needs.
+    Raises FaultsError with all that is wrong."""
     path = Path(path)
     parser, faults = read_file(path), []
     found, troubles, overrides = {}, {}, {}
@@ -127,9 +135,26 @@
         values = dict(parser[name]) if parser.has_section(name) else {}
         found[name] = check(name, model, values, faults)
     terms = None
+    if found["fleet"] is not None and fronts:
+        found["fleet"] = found["fleet"].model_copy(update={"fronts": list(fronts)})
+    if found["fleet"] is not None and found["load"] is not None and times != 1.0:
+        fleet, rate = found["fleet"], found["load"].rpcs_per_s * times
+        found["load"] = found["load"].model_copy(update={"rpcs_per_s": rate})
+        found["fleet"] = fleet.model_copy(update={key: max(1, round(getattr(fleet, key) * times))
+                                                  for key in ("tasks", "proxies")})
+    if assigners:
+        overrides["assigner", "assigners"] = str(assigners)
+    listen = "127.0.0.1:3870" if found["fleet"] is not None and "clone" in found["fleet"].fronts else ""
     if found["day"] is not None:
         try:
-            terms = assigner.load(settings or path.parent / found["day"].settings, overrides)
+            terms = assigner.load(settings or path.parent / found["day"].settings,
+                                  {**overrides, ("clone", "listen"): listen})
+            if times != 1.0:
+                channel = {("channel", key): str(getattr(terms.channel, key) * times * times)
+                           for key in ("lines_per_s", "most_waiting")}
+                overrides.update(channel)
+                terms = assigner.load(settings or path.parent / found["day"].settings,
+                                      {**overrides, ("clone", "listen"): listen})
         except FaultsError as trouble:
             faults += [f"{found['day'].settings}: {fault}" for fault in trouble.faults]
     if terms is not None and found["load"] is not None:
--- a/hollyridge/lab/virtual.py
+++ b/hollyridge/lab/virtual.py
@@ -1,5 +1,5 @@
-"""The simulated stage: the same core, module, channel, SASP front and codec, stand-ins and story, in one process
-under a simulated clock and network. The same seed gives the same recordings, byte for byte, in any process.
+"""The simulated stage: the same core, module, channel, fronts and codecs, client libraries, stand-ins and story, in one
+process under a simulated clock and network. The same seed gives the same recordings, byte for byte, in any process.
 
 What is simulated otherwise: sockets (frames are handed over after a delay, in order), reports (points without
 OTLP's bytes), and TCP's acknowledgements (one round trip after a frame was read).
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from random import Random
 
+from greenlet import GreenletExit
+
 from hollyridge.client.surface import Gateway
 from hollyridge.lab import rpc
 from hollyridge.lab.agent import Agent
@@ -21,19 +22,17 @@
 from hollyridge.lab.proxy import Proxy
 from hollyridge.lab.record import STATE, Recorder
 from hollyridge.lab.script import Script
+from hollyridge.lab.sockets import Context, Library, Network
+from hollyridge.lab.streams import VirtualCloneGateway, VirtualRegistrar, VirtualSaspGateway
 from hollyridge.lab.task import Task
 from hollyridge.lab.world import VirtualWorld
 from hollyridge.otlp.reading import METRICS
 from hollyridge.otlp.sender import Figure
 from hollyridge.rules import Assigner
-from hollyridge.sasp import codec
-from hollyridge.sasp.client import Held, LostError, Registrar
-from hollyridge.sasp.codec import Group, Wants
-from hollyridge.sasp.front import Stream
+from hollyridge.sasp.client import LostError
 from hollyridge.service import Service
 from hollyridge.steering.news import LOADS, Kind, Point
 
-
 STATE_EVERY = 500_000  # us
 
 
@@ -52,167 +51,6 @@
         self.errors.append(f"{event}: {facts.get('error', '')}")
 
 
-class Signal:
-    """Stands for an event that a writer waits for: calls instead."""
-
-    def __init__(self, call: Callable[[], None]) -> None:
-        self.set = call
-
-    def clear(self) -> None:
-        pass
-
-
-class Line:
-    """A stream between one client and the assigner, both ends. `got` is called with each frame that arrives."""
-
-    def __init__(self, stage: VirtualStage, host: str, got: Callable[[bytes | None], None]) -> None:
-        self.stage, self.host, self.got, self.open = stage, host, got, True
-        front = stage.service.front
-        front.number += 1
-        self.stream = Stream(front.number, self, (host, 0), front.keeper.answers())
-        self.stream.due = Signal(self.wake)
-        front.streams[self.stream.number] = self.stream
-        self.front = front
-        self.woken = False
-        self.consumed = 0
-        self.arrives = [0, 0]  # when the last frame each way arrives: none overtakes another
-
-    def shutdown(self, _how: int) -> None:  # as the front closes a socket
-        self.stage.world.spawn(self.close)
-
-    def close(self) -> None:
-        if self.open:
-            self.open = False
-            self.stream.closed = self.stream.closed or "closed"
-            if self.stage.service is not None and self.front is self.stage.service.front:
-                self.front.end(self.stream)
-            self.stage.world.spawn(self.got, None)
-
-    def pass_on(self, way: int, call: Callable, *words) -> None:
-        world, stage = self.stage.world, self.stage
-        self.arrives[way] = max(self.arrives[way] + 1, world.now() + round(stage.delay(stage.net.orders_ms) * 1e6))
-        world.when(self.arrives[way], world.start, call, words)
-
-    def say(self, frame: bytes) -> None:
-        self.pass_on(0, self.hear, frame)
-
-    def hear(self, frame: bytes) -> None:
-        if self.stage.stalls(self.hear, frame):
-            return
-        if self.open:
-            self.front.take(self.stream, frame)
-            self.wake()
-
-    def wake(self) -> None:
-        if not self.woken:
-            self.woken = True
-            self.stage.world.spawn(self.flush)
-
-    def flush(self) -> None:
-        if self.stage.stalls(self.flush):
-            return
-        self.woken = False
-        if not self.open or self.stream.closed:
-            return
-        while self.stream.replies:
-            self.send(self.stream.replies.popleft(), [])
-        if self.stream.push and self.stream.proxy >= 0:
-            marks, self.stream.pending = self.stream.pending, []
-            frames = self.front.compose(self.stream)
-            for frame in frames[:-1]:
-                self.send(frame, [])
-            if frames:
-                self.send(frames[-1], marks)
-            else:
-                self.acknowledged(0, marks)
-
-    def send(self, frame: bytes, marks: list) -> None:
-        self.stream.sent += len(frame)
-        self.front.counts["frames_out"] += 1
-        self.pass_on(1, self.arrived, frame, marks)
-
-    def arrived(self, frame: bytes, marks: list) -> None:
-        if self.open:
-            self.got(frame)
-            self.pass_on(0, self.acknowledged, len(frame), marks)
-
-    def acknowledged(self, size: int, marks: list) -> None:
-        if self.open and not self.stage.stalls(self.acknowledged, size, marks):
-            self.consumed += size
-            now = self.stage.world.now()
-            for mark, at in marks:
-                self.front.machine.receipt(now, self.stream.proxy, mark, now - at)
-            if marks:
-                self.front.loop.nudge()
-
-
-class Mailbox:
-    """What arrives for a greenlet that reads it one by one."""
-
-    def __init__(self, world: VirtualWorld) -> None:
-        self.world, self.rows, self.there = world, deque(), world.result()
-
-    def put(self, row) -> None:
-        self.rows.append(row)
-        self.there.set()
-
-    def take(self):
-        while not self.rows:
-            self.there = self.world.result()
-            self.there.get()
-        return self.rows.popleft()
-
-
-class VirtualGateway(Gateway):
-    """A SASP gateway on a simulated line."""
-
-    def __init__(self, stage: VirtualStage, proxy: Proxy, standing: list[str]) -> None:
-        super().__init__(proxy.uid, proxy.names, dict.fromkeys(standing, 1.0), proxy.plan["pick"], proxy.rng)
-        self.stage, self.proxy, self.held, self.line = stage, proxy, Held(), None
-        self.groups = {m["name"]: m["group"] for m in proxy.methods}
-
-    def run(self) -> None:
-        wait = 0.1
-        while not self.stopped:
-            if self.proxy.away:
-                self.stage.world.sleep(0.1)
-                continue
-            self.watch(True)
-            if self.stage.service is not None:
-                self.session()
-                wait = 0.1
-            self.watch(False)
-            self.hang_up()
-            self.stage.world.sleep(0.02 + self.rng.random() * wait)
-            wait = min(1.5, 2 * wait)
-
-    def session(self) -> None:
-        mail, proxy = Mailbox(self.stage.world), self.proxy
-        line = self.line = Line(self.stage, proxy.host, mail.put)
-        self.held.new_stream()
-        groups = tuple(codec.MembersOf(Group(self.uid, name), ()) for name in dict.fromkeys(self.groups.values()))
-        for number, message in enumerate((codec.SetBalancer(self.uid, 0x7F, int(Wants.PUSH | Wants.NO_CHANGE)),
-                                          codec.Register(True, groups)), 1):
-            frame = codec.encode(number, message)
-            proxy.record.frame("said", self.uid, proxy.stream, frame)
-            line.say(frame)
-        while (frame := mail.take()) is not None and not self.stopped:
-            proxy.record.frame("heard", self.uid, proxy.stream, frame)
-            _, message = codec.decode(frame)
-            if isinstance(message, codec.SendWeights):
-                proxy.apply(sum(len(g.weights) for g in message.groups))
-                self.held.take(message.groups)
-                self.lay({m: {f"{o.host}:{o.port}": float(e.weight) for o, e in self.held.lines(group).items()}
-                          for m, group in self.groups.items() if group in self.held.fresh}, {})
-            elif getattr(message, "code", 0):
-                break
-
-    def hang_up(self) -> None:
-        line, self.line = self.line, None
-        if line is not None:
-            line.close()
-
-
 class VirtualPipe:
     def __init__(self, stage: VirtualStage, proxy: Proxy, name: str) -> None:
         self.stage, self.proxy, self.name, self.task, self.number = stage, proxy, name, None, 0
@@ -257,7 +95,15 @@
         super().__init__(stage.world, record=stage.record, **terms)
 
     def open(self, front: str, standing: list[str]) -> Gateway:
-        return VirtualGateway(self.stage, self, standing)
+        stage = self.stage
+        terms = dict(standing=dict.fromkeys(standing, 1.0), pick=self.plan["pick"], rng=self.rng,
+                     sleep=self.world.sleep, clock=self.seconds)
+        if front == "sasp":
+            return VirtualSaspGateway(stage, self, **terms)
+        context = Context(stage.network, cut=lambda _endpoint: self.gateway.way in self.away)
+        how = dict(source=self.host, zmq=Library(self.world), context=context,
+                   heard=lambda parts: self.record.parts("told", self.uid, self.stream, parts))
+        return VirtualCloneGateway(stage.addresses["clone"], self.uid, self.names, how, before=self.apply, **terms)
 
     def wall(self) -> int:
         return self.world.now() * 1000
@@ -266,7 +112,7 @@
         return VirtualPipe(self.stage, self, task)
 
     def say(self, figures: list[Figure]) -> None:
-        self.stage.report(self.uid, figures)
+        self.stage.seats[self.gateway.way].report(self.uid, figures)
 
 
 class VirtualHouse(Cast):
@@ -290,109 +136,82 @@
         self.proxies[terms["uid"]] = VirtualProxy(self.stage, **terms)
 
 
-class VirtualRegistrar(Registrar):
-    """The agent's stream: requests are taken and answered at once."""
-
-    def __init__(self, stage: VirtualStage, fleet: str, number: int) -> None:
-        self.stage, self.group, self.stream_number = stage, Group(fleet, "tasks"), number
-        self.number, self.lost = 0, False
-        self.line = Line(stage, "127.0.0.1", self.end)
-
-    def end(self, frame: bytes | None) -> None:
-        self.lost = self.lost or frame is None
-
-    def call(self, message: codec.Message) -> codec.Message:
-        if self.lost or not self.line.open:
-            raise LostError("closed by the service")
-        self.number += 1
-        frame = codec.encode(self.number, message)
-        record, stream = self.stage.record, self.line.stream
-        record.frame("said", "agent", self.stream_number, frame)
-        self.line.front.take(stream, frame)
-        reply = stream.replies.pop()
-        record.frame("heard", "agent", self.stream_number, reply)
-        return codec.decode(reply)[1]
-
-
 class VirtualAgent(Agent):
-    def __init__(self, stage: VirtualStage) -> None:
-        self.stage = stage
-        super().__init__(("", 0), stage.script.terms.sasp.fleet, stage.record, stage.world.spawn)
+    def __init__(self, seat: Seat) -> None:
+        self.seat = seat
+        super().__init__(("", 0), seat.stage.script.terms.sasp.fleet, seat.stage.record, seat.stage.world.spawn,
+                         seat.number)
 
     def run(self) -> None:
+        seat, world = self.seat, self.seat.stage.world
         while True:
-            if self.stage.service is None:
-                self.stage.world.sleep(0.2)
+            if seat.service is None:
+                world.sleep(0.2)
                 continue
             self.stream += 1
-            client, self.told = VirtualRegistrar(self.stage, self.fleet, self.stream), {}
+            client, self.told = VirtualRegistrar(seat, self.fleet, self.who, self.stream), {}
             self.due.set()
             try:
                 while client.line.open and not client.lost:
-                    while self.stage.stalled > self.stage.world.now():
-                        self.stage.world.sleep(0.02)
+                    while seat.stalled > world.now():
+                        world.sleep(0.02)
                     if self.due.is_set():
                         self.due.clear()
                         self.sync(client)
-                    self.stage.world.sleep(0.02)
+                    world.sleep(0.02)
             except LostError:
                 pass
-            self.record("stream", who="agent", stream=self.stream, up=False)
-            self.stage.world.sleep(0.2)
+            self.record("stream", who=self.who, stream=self.stream, up=False)
+            world.sleep(0.2)
 
 
-class VirtualStage:
-    """`ties` shuffles what is due at the same moment (see `VirtualWorld`)."""
+class Seat:
+    """Where one assigner runs, and runs again after it was killed."""
 
-    addresses = {"sasp": ["", 0], "otlp": ["", 0], "clone": ["", 0]}
-
-    def __init__(self, script: Script, policy: str = "", seed: int = 1, ties: int | None = None,
-                 record: str | None = None) -> None:
-        self.script, self.policy = script, policy
-        self.world = VirtualWorld(ties)
-        self.record = Recorder(None, self.world.now)
-        self.file = record
-        self.rng = Random(seed + 7)
-        self.net = script.net
-        self.at: dict[str, Task] = {}
-        self.stalled = 0  # until when the assigner has no turn
-        self.port = 20000
+    def __init__(self, stage: VirtualStage, number: int) -> None:
+        self.stage, self.number, self.world = stage, number, stage.world
         self.service: Service | None = None
-        self.log = QuietLog()
-        self.failures: list[str] = []
-        self.turn = 0
-        self.status: list[dict] = []
-
-    def delay(self, ms: float) -> float:
-        """Seconds, varied."""
-        return ms / 1e3 * (1 + self.net.jitter * (2 * self.rng.random() - 1))
-
-    def house(self, _name: str, heard: Callable[[dict], None]) -> VirtualHouse:
-        return VirtualHouse(self, heard)
-
-    def agent(self) -> VirtualAgent:
-        return VirtualAgent(self)
-
-    def settle(self, _agent: Agent) -> None:
-        self.world.sleep(1.0)
-
-    # The assigner.
-
-    def start_assigner(self) -> None:
-        service = Service(self.script.terms, self.log, POLICIES.get(self.policy, Assigner), self.world.now)
-        service.loop.nudge = self.nudge
+        self.context: Context | None = None
+        self.stalled = 0  # until when it has no turn
+        self.turn = self.starts = 0
+
+    def start(self) -> None:
+        stage = self.stage
+        self.starts += 1
+        epoch = f"{self.number:08x}{self.starts:08x}"
+        service = Service(stage.script.terms, stage.log, POLICIES.get(stage.policy, Assigner), self.world.now,
+                          self.open_context, epoch)
+        service.loop.nudge, service.loop.spawn = self.nudge, self.world.spawn
+        service.loop.sleep = lambda seconds: self.sleep(service, seconds)
         self.service, self.names = service, service.names()
+        if service.clone is not None:
+            service.clone.terms = service.clone.terms._replace(host="127.0.0.1", port=stage.port_of(self.number))
+            service.clone.start()
         self.nudge()
         self.world.spawn(self.look, service)
 
-    def kill_assigner(self) -> None:
+    def open_context(self) -> Context:
+        self.context = Context(self.stage.network, idle=self.idle)
+        return self.context
+
+    def kill(self) -> None:
         service, self.service = self.service, None
-        self.status.append(service.status())
+        self.stage.status.append(service.status())
         for stream in list(service.front.streams.values()):
             self.world.spawn(stream.sock.close)
+        if self.context is not None:
+            self.context.end()
+
+    def sleep(self, service: Service, seconds: float) -> None:
+        """For the greenlets of a front; they end with their assigner."""
+        self.world.sleep(seconds)
+        self.idle()
+        if self.service is not service:
+            raise GreenletExit
 
-    def stall_assigner(self, seconds: float) -> None:
-        self.stalled = self.world.now() + round(seconds * 1e6)
+    def idle(self) -> None:
+        while self.stalled > self.world.now():
+            self.world.sleep((self.stalled - self.world.now()) / 1e6)
 
     def stalls(self, call: Callable, *words) -> bool:
         """Whether the assigner has no turn now; then the call comes when it has."""
@@ -423,10 +242,11 @@
             if now >= told:
                 told = now + STATE_EVERY
                 status = service.machine.status()
-                self.record("state", **{key: status[key] for key in STATE}, **status["module"])
+                self.stage.record("state", assigner=self.number, **{key: status[key] for key in STATE},
+                                  **status["module"])
             for number, stream in list(front.streams.items()):
-                front.presence.unread(now, number, stream.sock.consumed,
-                                      stream.sent - stream.sock.consumed > self.script.terms.sasp.send_buffer_bytes)
+                front.presence.unread(now, number, stream.sock.consumed, stream.sent - stream.sock.consumed >
+                                      self.stage.script.terms.sasp.send_buffer_bytes)
             for number, why in front.presence.overdue(now):
                 if number in front.streams:
                     front.close(front.streams[number], why)
@@ -446,6 +266,55 @@
                 self.service.machine.report(now, Point(source, kind, place, 0 if kind in LOADS else method,
                                                        figure.value, figure.start or figure.end, figure.end))
 
+
+class VirtualStage:
+    """`ties` shuffles what is due at the same moment (see `VirtualWorld`)."""
+
+    def __init__(self, script: Script, policy: str = "", seed: int = 1, ties: int | None = None,
+                 record: str | None = None) -> None:
+        self.script, self.policy = script, policy
+        self.world = VirtualWorld(ties)
+        self.record = Recorder(None, self.world.now)
+        self.file = record
+        self.rng = Random(seed + 7)
+        self.net = script.net
+        self.network = Network(self.world, lambda: self.delay(self.net.orders_ms))
+        self.at: dict[str, Task] = {}
+        self.port = 20000
+        self.log = QuietLog()
+        self.failures: list[str] = []
+        self.status: list[dict] = []
+        count = script.terms.assigner.assigners
+        self.addresses = {name: [["127.0.0.1", self.port_of(k)] for k in range(count)]
+                          for name in ("sasp", "otlp", "clone")}
+        self.seats = [Seat(self, number) for number in range(count)]
+
+    @staticmethod
+    def port_of(number: int) -> int:
+        return 6000 + 10 * number
+
+    def delay(self, ms: float) -> float:
+        """Seconds, varied."""
+        return ms / 1e3 * (1 + self.net.jitter * (2 * self.rng.random() - 1))
+
+    def house(self, _name: str, heard: Callable[[dict], None]) -> VirtualHouse:
+        return VirtualHouse(self, heard)
+
+    def agent(self, number: int) -> VirtualAgent:
+        return VirtualAgent(self.seats[number])
+
+    def settle(self, _agent: Agent) -> None:
+        self.world.sleep(1.0)
+
+    def start_assigner(self, number: int) -> None:
+        self.seats[number].start()
+
+    def kill_assigner(self, number: int) -> None:
+        self.seats[number].kill()
+
+    def stall_assigner(self, number: int, seconds: float) -> None:
+        self.seats[number].stalled = self.world.now() + round(seconds * 1e6)
+
     # The day.
 
     def act(self, day: Day) -> int:
@@ -478,6 +347,5 @@
         return self.record.rows
 
     def end(self) -> None:
-        if self.service is not None:
-            self.status.append(self.service.status())
+        self.status += [seat.service.status() for seat in self.seats if seat.service is not None]
         self.failures += self.log.errors
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -24,11 +24,12 @@
 
 
 class Service:
-    """`make` builds the decision module. `start` listens (OSError if an address is taken), `run` blocks until
-    `stop` and raises what the machine raises when it gives up."""
+    """`make` builds the decision module, `context` that of the pub-sub library's sockets, `epoch` names this run.
+    `start` listens (OSError if an address is taken), `run` blocks until `stop` and raises what the machine raises when
+    it gives up."""
 
     def __init__(self, terms: AssignerTerms, log, make: Callable = Assigner,
-                 clock: Callable = monotonic_us) -> None:
+                 clock: Callable = monotonic_us, context: Callable = zmq.Context, epoch: str = "") -> None:
         self.terms, self.log = terms, log
         boot = terms.bootstrap()
         self.machine = Machine(boot, terms.assigner.seed, terms.limits(), clock(), log, make)
@@ -44,12 +45,13 @@
                                self.access, secure)
         self.clone = self.curve = None
         if terms.clone.listen:
-            context = zmq.Context()
+            context = context()
             if terms.curve_file():
                 self.curve = Curve(context, terms.curve_file(), self.access.curve_known,
                                    lambda key: self.access.by_curve.get(key, key))
             self.clone = CloneFront(self.loop, terms.clone_terms(), Presence(boot.drain_grace, boot.bare), keeper,
-                                    terms.zone_finder(), self.task_name, log, context, self.curve, self.access)
+                                    terms.zone_finder(), self.task_name, log, context, self.curve, self.access,
+                                    epoch)
         self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), self.status, log, self.access, secure)
 
     def task_name(self, task: int) -> str:
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -75,7 +75,7 @@
     words = [sys.executable, "-m", "hollyridge.cli.main", "day", str(SMALL), "--report", str(tmp_path)]
     process = subprocess.Popen(words, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
     for _ in range(100):
-        if (tmp_path / "day.jsonl").exists() and (tmp_path / "assigner-1.log").exists():
+        if (tmp_path / "day.jsonl").exists() and (tmp_path / "assigner-0-1.log").exists():
             break
         time.sleep(0.1)
     time.sleep(3)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,11 +9,12 @@
 
 import msgspec
 import pytest
+import zmq
 from click.testing import CliRunner
 
 from hollyridge.cli.main import main
 from hollyridge.client.picking import Picker
-from hollyridge.lab import experiment, hunt, rpc, script
+from hollyridge.lab import experiment, hunt, rpc, script, sockets
 from hollyridge.lab.day import Day
 from hollyridge.lab.physics import Budget, Build, Warmth
 from hollyridge.lab.record import Recorder
@@ -324,9 +325,148 @@
     rows = [{"variant": v, "script": "s", "seed": s, "served": 0.9, "worst_10s": 0.8, "lines": 10, "messages": 5,
              "decisions_sent": 3, "tries": 9, "broken": 0} for v in ("a", "b") for s in (1, 2)]
     kept.write_bytes(b"\n".join(map(msgspec.json.encode, rows)))
-    for source, pictures in ((record, 4), (kept, 4)):
+    for source, pictures in ((record, 7), (kept, 4)):
         ran = CliRunner().invoke(main, ["lab", "report", str(source), "--out", str(tmp_path / source.stem)])
         assert ran.exit_code == 0, ran.output
         assert Path(ran.output.strip()).read_text().count("data:image/png") == pictures
     (tmp_path / "empty.jsonl").write_text("nothing\n")
     assert CliRunner().invoke(main, ["lab", "report", str(tmp_path / "empty.jsonl")]).exit_code == 2
+
+
+THREE = ROOT / "examples" / "lab" / "three.ini"
+
+
+def test_three_assigners_and_both_fronts():
+    """Each proxy is with one at a time; the rules are checked by who knew what, the tables by protocol."""
+    loaded = script.load(THREE)
+    stage = VirtualStage(loaded, "", 5)
+    told = Day(loaded, stage, 5).play()
+    assert all(v.kept for v in told.verdicts), told.verdicts
+    assert told.parity[0] > 200 and told.parity[1] == 0, told.parity
+    rows = stage.record.rows
+    ups = {row["who"]: set() for row in rows if row["k"] == "stream"}
+    for row in rows:
+        if row["k"] == "stream" and row["up"]:
+            ups[row["who"]].add(row["assigner"])
+    assert set().union(*ups.values()) == {0, 1, 2} and any(len(some) > 1 for some in ups.values())
+    assert {row["assigner"] for row in rows if row["k"] == "state"} == {0, 1, 2}
+
+
+@pytest.mark.parametrize("policy, rule", [("bare", 1), ("deaf", 3), ("chatty", 5)])
+def test_saboteurs_are_caught_among_three(policy, rule):
+    loaded = script.load(THREE, fronts=("sasp",))
+    told = Day(loaded, VirtualStage(loaded, policy, 5), 5).play()
+    assert rule in {v.rule for v in told.verdicts if not v.kept}
+
+
+def test_pub_sub_days_are_equal_byte_for_byte_and_lose_no_session():
+    raws = []
+    for _ in range(2):
+        loaded = script.load(SMALL, fronts=("clone",))
+        stage = VirtualStage(loaded, "", 3)
+        assert all(v.kept for v in Day(loaded, stage, 3).play().verdicts)
+        raws.append([msgspec.json.encode(row) for row in stage.record.rows])
+        status = stage.status[-1]["clone"]
+        assert status["readers"] == 4 and status["bad"] == status["unreachable"] == 0
+    assert raws[0] == raws[1]
+
+
+def test_simulated_sockets():
+    """As the library's pages have it: a publisher drops for a full reader, a router says so; what waits is found."""
+    world = VirtualWorld()
+    net, got = sockets.Network(world, lambda: 0.001), []
+    blocked = []
+    ours, theirs = sockets.Context(net), sockets.Context(net, cut=lambda endpoint: bool(blocked))
+    router, publisher = ours.socket(zmq.ROUTER), ours.socket(zmq.PUB)
+    dealer, reader = theirs.socket(zmq.DEALER), theirs.socket(zmq.SUB)
+    dealer.identity = b"me"
+    reader.rcvhwm = 2
+    dealer.connect("tcp://127.1.0.9:0;127.0.0.1:1")
+    reader.connect("tcp://127.1.0.9:0;127.0.0.1:2")
+    dealer.send_multipart([b"nobody hears"])
+    router.bind("tcp://127.0.0.1:1")
+    publisher.bind("tcp://127.0.0.1:2")
+    with pytest.raises(zmq.ZMQError):
+        ours.socket(zmq.ROUTER).bind("tcp://127.0.0.1:1")
+    reader.subscribe(b"a")
+
+    def talk():
+        dealer.send_multipart([b"hello"])
+        parts = router.recv_multipart(copy=False)
+        got.append(([bytes(p) for p in parts], parts[-1].get("Peer-Address")))
+        for number in range(9):
+            publisher.send_multipart([b"a%d" % number])
+            publisher.send_multipart([b"b%d" % number])
+        with pytest.raises(zmq.ZMQError):
+            router.send_multipart([b"who", b"x"])
+        poller = sockets.Poller(world)
+        poller.register(reader, zmq.POLLIN)
+        assert poller.poll(100) and poller.poll(0)
+        world.sleep(0.01)
+        got.append(len(reader.queue))
+        blocked.append(True)
+        dealer.send_multipart([b"lost"])
+        router.send_multipart([b"me", b"lost too"])
+        world.sleep(0.01)
+        got.append((len(router.queue), len(dealer.queue)))
+        ours.end()
+        assert not net.bound
+    world.spawn(talk)
+    world.run(1.0)
+    assert got == [([b"me", b"hello"], "127.1.0.9"), 4, (0, 0)]
+
+
+def test_retries_grow_as_theory_has_it():
+    """A part p of tries fails at once and each client tries up to r more: (1 - p^(r+1)) / (1 - p) tries a client."""
+    part, more = 0.5, 2
+    loaded = script.load(SMALL)
+    quiet = loaded.load.model_copy(update={"client_retries": more, "work_ms": [5.0, 5.0, 5.0]})
+    trouble = script.TroubleSection(kind="errors", at_s=0, for_s=16, part=1.0, size=part)
+    terms = [m.model_copy(update={"repeats": "idempotent"}) for m in loaded.terms.methods.values()]
+    loaded.terms.methods.update(zip(list(loaded.terms.methods), terms))
+    day = script.Script(loaded.path, loaded.day, loaded.fleet, quiet, loaded.net, {"errors": trouble},
+                        loaded.overrides, loaded.terms)
+    tries = [Day(day, VirtualStage(day, "even", seed), seed).play().figures for seed in range(1, 9)]
+    found = sum(told["tries"] for told in tries) / sum(told["rpcs"] for told in tries)
+    assert found == pytest.approx((1 - part ** (more + 1)) / (1 - part), rel=0.03)
+
+
+def test_an_overload_that_clients_keep_up_after_it_is_over(tmp_path):
+    """Retries into a jam outlast it; where levels can push back it ends sooner. Both are shown, not hoped for."""
+    path = tmp_path / "jam.ini"
+    path.write_text(f"""[day]
+settings = {ROOT / "examples" / "loopback.ini"}
+length_s = 24
+[fleet]
+tasks = 6
+proxies = 4
+[load]
+rpcs_per_s = 70
+work_ms = 100, 150, 100
+shares = 0.64, 0.23, 0.13
+client_retries = 6
+[trouble jam]
+kind = surge
+at_s = 4
+for_s = 4
+size = 3
+""")
+    after, before = [], []
+    for fronts in (("sasp",), ("clone",)):
+        loaded = script.load(path, fronts=fronts)
+        line = dict(Day(loaded, VirtualStage(loaded, "", 2), 2).play().figures["timeline"])
+        after.append(sum(line[s] for s in range(10, 14)) / 4)
+        before.append(line[2])
+    assert min(before) > 0.8 and after[0] < 0.6 and after[1] > after[0]
+
+
+def test_a_sweep_tells_what_grows(tmp_path):
+    words = ["lab", "sweep", str(SMALL), "--sizes", "1,2", "--assigners", "1,2", "--out", str(tmp_path), "--json"]
+    ran = CliRunner().invoke(main, words)
+    assert ran.exit_code == 0, ran.output
+    rows = msgspec.json.decode(ran.stdout.splitlines()[-1])["rows"]
+    assert [(row["tasks"], row["proxies"], row["assigners"]) for row in rows] == [
+        (6, 4, 1), (12, 8, 1), (6, 4, 2), (12, 8, 2)]
+    assert rows[1]["lines"] > 2 * rows[0]["lines"] and all(row["broken"] == 0 and row["cpu_per_s"] > 0 for row in rows)
+    assert (tmp_path / "index.html").read_text().count("data:image/png") == 5
+    assert CliRunner().invoke(main, ["lab", "sweep", str(SMALL), "--sizes", "x"]).exit_code == 2
