--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -100,7 +100,7 @@
         unit.run = f"r{self.runs}"
         waiter = self.started[unit.run] = self.world.result()
         promises = self.terms.promises
-        build = dict(cores=fleet.cores, speed=1 + fleet.speed_spread * (2 * self.rng.random() - 1),
+        build = dict(cores=fleet.cores, speed=fleet.speed * (1 + fleet.speed_spread * (2 * self.rng.random() - 1)),
                      slots=fleet.slots, queue=fleet.queue, cold_from=fleet.cold_from,
                      cold_us=round(fleet.cold_s * 1e6), fall_multiple=promises.fall_multiple,
                      fall_us=round(promises.fall_s * 1e6), handshake_us=round(fleet.handshake_ms * 1e3),
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -41,6 +41,7 @@
     cores: PositiveInt = 2
     slots: PositiveInt = 6
     queue: PositiveInt = 20
+    speed: PositiveFloat = 1.0
     speed_spread: Annotated[float, Field(ge=0, lt=1)] = 0.2
     cold_from: Part = 0.25
     cold_s: PositiveFloat = 10
--- a/hollyridge/lab/sockets.py
+++ b/hollyridge/lab/sockets.py
@@ -158,7 +158,7 @@
             for sock in self.socks:
                 sock.there = first
             try:
-                first.get(timeout=ms / 1e3)
+                first.get(timeout=max(ms / 1e3, 1e-6))  # time must pass, however little is left
             except TimeoutError:
                 pass
         return [(sock, zmq.POLLIN) for sock in self.socks if sock.queue]
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -598,9 +598,10 @@
     def publish(self, now: int, push: bool) -> list[Order]:
         box, tables, part, zones = self.outbox, self.tables, self.parts(now), self.roster.by_zone()
         cold = {i for i in part if part[i] < 1.0}
-        # Removals behind a long queue wait a little for more of them: nothing is lost, and heads are saved.
+        # Removals behind a long queue, or with few messages left, wait a little for more of them: nothing is
+        # lost, and heads and messages are saved.
         self.told = self.told if self.owed else now
-        wait = box.sent - box.left > box.usual / 2 and now < self.told + self.boot.drain_grace // 4
+        wait, long = now < self.told + self.boot.drain_grace // 4, box.sent - box.left > box.usual / 2
         orders, already, self.owed = [], box.sent, False
         crowd = any(not methods for _, _, methods in tables.joining)  # who waits for a table goes first
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
@@ -610,7 +611,7 @@
             small = STEP * sum(lines.values()) / max(len(lines), 1)  # moves of smaller lines hardly count
             # What can't wait: closed tasks, and such as started again while they were listed as warm.
             gone = [i for i in before if i not in part or i in cold and cap_before[i] >= 1.0]
-            if gone and wait and len(gone) < len(before):
+            if gone and wait and (long or not box.spare(now, proxies, False)) and len(gone) < len(before):
                 self.owed = True
                 continue
             # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
--- a/hollyridge/sasp/client.py
+++ b/hollyridge/sasp/client.py
@@ -127,6 +127,9 @@
         return (number, message) if isinstance(message, codec.SendWeights) else None
 
 
+BATCH = 200  # members in one request; each takes some 24 bytes and a label of 255 at most
+
+
 class Registrar(Client):
     """The side of a member or of an agent that speaks for several; `fleet` and `group` as the service has them."""
 
@@ -136,15 +139,24 @@
 
     def register(self, members: Iterable[Member]) -> None:
         """Members that are registered already are no error."""
-        message = codec.Register(False, (codec.MembersOf(self.group, tuple(members)),))
-        self.ask(message, (Code.OK, Code.ALREADY_REGISTERED))
+        for some in self.batches(members):
+            self.ask(codec.Register(False, (codec.MembersOf(self.group, some),)), (Code.OK, Code.ALREADY_REGISTERED))
 
     def deregister(self, members: Iterable[Member], reason: int = 0) -> None:
-        self.ask(codec.Deregister(False, reason, (codec.MembersOf(self.group, tuple(members)),)))
+        for some in self.batches(members):
+            self.ask(codec.Deregister(False, reason, (codec.MembersOf(self.group, some),)))
 
     def quiesce(self, members: Iterable[Member], on: bool = True) -> None:
-        states = tuple(codec.State(member, on) for member in members)
-        self.ask(codec.SetMembers(False, (codec.StatesOf(self.group, states),)))
+        for some in self.batches(members):
+            states = tuple(codec.State(member, on) for member in some)
+            self.ask(codec.SetMembers(False, (codec.StatesOf(self.group, states),)))
+
+    @staticmethod
+    def batches(members: Iterable[Member]) -> Iterable[tuple[Member, ...]]:
+        """As many as a component holds, whatever their labels: its size is told in 16 bits."""
+        members = tuple(members)
+        for first in range(0, max(len(members), 1), BATCH):
+            yield members[first:first + BATCH]
 
 
 class Entry(NamedTuple):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -470,3 +470,13 @@
     assert rows[1]["lines"] > 2 * rows[0]["lines"] and all(row["broken"] == 0 and row["cpu_per_s"] > 0 for row in rows)
     assert (tmp_path / "index.html").read_text().count("data:image/png") == 5
     assert CliRunner().invoke(main, ["lab", "sweep", str(SMALL), "--sizes", "x"]).exit_code == 2
+
+
+def test_pub_sub_days_go_on_with_slow_orders(tmp_path):
+    """A remainder of time too small for the clock once let a simulated reader look again for ever."""
+    path = tmp_path / "slow.ini"
+    path.write_text(SMALL.read_text().replace("loopback.ini", str(ROOT / "examples" / "loopback.ini"))
+                    + "\n[net]\norders_ms = 250\n")
+    loaded = script.load(path, fronts=("clone",))
+    told = Day(loaded, VirtualStage(loaded, "", 2), 2).play()
+    assert all(v.kept for v in told.verdicts)
