A task's load goes into the report of each zone that met it

Cause: with several zones only the first zone's report carried a task's utilisation and the next ones, without it, undid it in the module: with four zones it never knew what tasks could do, levels and sizes went without. Change: the figure stands in every report of the period.

--- a/hollyridge/steering/news.py
+++ b/hollyridge/steering/news.py
@@ -177,13 +177,15 @@
             tries, pace = self.rate(Kind.TRIES, place)
             bad, took = (self.rate(kind, place)[0] for kind in (Kind.FAILED, Kind.TIME))
             good = round(tries) - round(min(bad, tries))
-            load = self.loads.pop(place[1], {})
+            load = self.loads.get(place[1], {})  # in the report of each zone that met it: the last one counts
             events.append(TrafficReport(
                 place[0], place[1], round(tries), round(min(bad, tries)),
                 round(took * 1e6 / good) if good > 0 else 0, self.over(tries, pace),
                 tuple(load.get(kind, -1.0) for kind in LOADS)))
             for kind in (Kind.TRIES, Kind.FAILED, Kind.TIME):
                 self.sums.pop((kind, place), None)
+        for _, place in tried:
+            self.loads.pop(place[1], None)
         for place in offered:
             rpcs, pace = self.rate(Kind.RPCS, place)
             unanswered = self.rate(Kind.UNANSWERED, place)[0]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -459,3 +459,15 @@
     keeper = Doorkeeper(most=100, most_each=10, per_s=80, requests_per_s=10)
     taken = sum(not keeper.knock(at, "storm") for at in range(0, SECOND, 1000))
     assert taken == 10 and not keeper.knock(SECOND, "quiet")
+
+
+def test_a_load_counts_in_the_report_of_each_zone_that_met_the_task():
+    """The module keeps what it hears last: a report without the figure would undo it."""
+    seen = news()
+    for zone in (0, 1, 2):
+        assert not seen.take(SECOND, point(source=f"gw-{zone}", place=(zone, 3)))
+    assert not seen.take(SECOND, point(kind=Kind.UTIL, value=0.5, place=(0, 3)))
+    reports = seen.gather(SECOND)
+    assert [report.load[0] for report in reports] == [0.5, 0.5, 0.5]
+    assert not seen.take(2 * SECOND, point(start=1, end=2))
+    assert seen.gather(2 * SECOND)[0].load[0] == -1.0  # told once, not again
