Levels open as capacity comes; the weight solver proposes beside the loop

Cause: after a last large push nothing followed it whose receipt could prove that it had left, so the channel counted as half full for ten seconds and more and levels that had been decided stayed unsent: at a quarter for fifteen seconds while tasks were a third busy. Proposal events: the solver, asked once a period off the hub ([solver] on), stands in for size x skill x reach; cold tasks get no more of a small table than of a whole one.

--- a/hollyridge/core/solving.py
+++ b/hollyridge/core/solving.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from hollyridge import interface as api
 from hollyridge.core.loop import Loop
 from hollyridge.solving.feed import fleet_of, proposals
 from hollyridge.solving.solver import Planner
@@ -24,7 +25,8 @@
     def __init__(self, loop: Loop, terms: SolverTerms, log, apply: Callable) -> None:
         self.loop, self.machine, self.terms, self.log, self.apply = loop, loop.machine, terms, log, apply
         self.planner = Planner(terms.deadline_s)
-        self.counts = {"asked": 0, "proposed": 0, "unknown": 0}
+        self.counts = {"asked": 0, "proposed": 0, "unknown": 0, "too_little": 0}
+        self.pushes_back = self.machine.boot.admission not in (api.Admission.OFF, api.Admission.SILENT)
 
     def run(self) -> None:
         while True:
@@ -41,10 +43,10 @@
         if plan is None or plan.stands:
             self.log.warning("no new plan", why=plan.stands if plan is not None else "none ever was")
             return  # an old proposal runs out, then the loop goes on alone
-        now = self.loop.clock()
-        for proposal in proposals(plan):
+        now, told = self.loop.clock(), proposals(plan, self.pushes_back)
+        for proposal in told:
             self.machine.tell(now, proposal)
-        self.counts["proposed"] += 1
+        self.counts["proposed" if told else "too_little"] += 1
         self.loop.nudge()
 
     def status(self) -> dict:
--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -188,9 +188,17 @@
     slice: int
 
 
+class Proposal(NamedTuple):
+    """Weights by task that a solver proposes for the table of a zone's proxies. The loop trims them, the gate decides
+    whether they are pushed; without news they run out after a few periods."""
+
+    zone: int
+    weights: tuple[tuple[int, float], ...]
+
+
 Event = Union[
     RosterChange, Woke, ProbeResult, PeerMessage, Joined, Left, Receipt, TrafficReport, OfferedLoad,
-    SliceLoad, SliceCharge, SliceLine,
+    SliceLoad, SliceCharge, SliceLine, Proposal,
 ]
 
 
--- a/hollyridge/lab/virtual.py
+++ b/hollyridge/lab/virtual.py
@@ -187,6 +187,9 @@
         if service.clone is not None:
             service.clone.terms = service.clone.terms._replace(host="127.0.0.1", port=stage.port_of(self.number))
             service.clone.start()
+        if service.solving is not None:
+            service.solving.apply = lambda call, words: call(*words)
+        service.begin()
         self.nudge()
         self.world.spawn(self.look, service)
 
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -13,8 +13,8 @@
 from random import Random
 
 from hollyridge.interface import (
-    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, OfferedLoad, Order, PutLine,
-    Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
+    Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Left, ListKind, OfferedLoad, Order, Proposal,
+    PutLine, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -32,6 +32,7 @@
 LEAST_PART = 1 / 9  # of the tasks, left in a jam to methods that give way
 ON_PROOF = 1  # the way to try again that can't repeat an effect, whatever the method: the first never ran
 JAM = 0.25  # part of all tries that end badly while the fleet is in a jam
+LASTS = 3  # periods that a proposal of weights stands without another
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
 
 
@@ -276,6 +277,7 @@
         self.zones, self.est, self.standing = range(boot.zones), est, boot.initial_set
         self.stride = STEP / boot.assigners
         self.toll = TOLL * boot.cross_zone_price * est.soft  # crossing zones as latency
+        self.proposed: list[tuple[int, dict[int, float]]] = [(0, {}) for _ in self.zones]  # and until when
         self.skill: list[float] = []
         self.weight: list[float] = []
         self.reach, self.extra = ([[float(a == b and own) for b in self.zones] for a in self.zones]
@@ -334,7 +336,11 @@
         return [[o * part * s / a if a > 0 else 0.0 for s, a in zip(spare, able)] for o in over]
 
     def weights(self, zone: int, zones: list[list[int]]) -> dict[int, float]:
-        """All of its own tasks, and so many of each other zone that a line is worth its place."""
+        """All of its own tasks, and so many of each other zone that a line is worth its place; or what is
+        proposed, trimmed by skill."""
+        lines = {i: self.proposed[zone][1].get(i, 0.0) * self.skill[i] for kin in zones for i in kin}
+        if any(lines.values()):
+            return {i: w for i, w in lines.items() if w > 0}
         lines = {}
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
@@ -388,16 +394,19 @@
 
 class Outbox:
     """What may leave, within the lines that may wait and the messages a proxy may get. Messages leave in
-    order: a receipt from any proxy proves that all sent before has left. No pace is believed in."""
+    order: a receipt from any proxy proves that all sent before has left, and its own message; the latter
+    counts for levels that open: the rest stays held, which spares the channel. No pace is believed in."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.sent = self.left = 0.0  # lines ever sent, and proven to have left
+        self.sent = self.left = self.proven = 0.0  # lines ever sent, proven to have left, so with own replies
         self.at = self.heard = self.mark = 0
         # So far may what can wait fill the channel: a drain ordered behind it is still in time.
         in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
         self.usual = min(boot.most_waiting / 2, in_time)
-        self.marks: dict[int, float] = {}  # lines sent before each mark's reply
+        # By mark: lines sent before its reply, its own, how many messages it is, who has told of it.
+        self.marks: dict[int, tuple[float, float, int, set[int]]] = {}
+        self.messages = 0  # booked since the last mark
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
@@ -406,12 +415,16 @@
         self.at = now
 
     def receipt(self, now: int, receipt: Receipt) -> None:
-        self.left, self.heard = max(self.left, self.marks.get(receipt.mark, 0.0)), now
+        before, lines, messages, told = self.marks.get(receipt.mark, (0.0, 0.0, 1, set()))
+        self.left, self.heard = max(self.left, before), now
+        if self.proven < before + lines:  # or nothing would prove the last reply: levels would wait for long
+            told.add(receipt.proxy)
+            self.proven = max(self.proven, before + lines * min(1.0, len(told) / max(messages, 1)))
 
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= times * self.usual
 
-    def spare(self, now: int, proxies: list[int], urgent: bool) -> int:
+    def spare(self, now: int, proxies: list[int], urgent: bool, left: float = 0.0) -> int:
         if not proxies:
             return 1 << 30
         since = now - self.boot.counted_over - self.boot.worst_transit
@@ -421,12 +434,13 @@
                 times.popleft()
             if len(times) + 1 > (0.95 if urgent else 0.6) * self.boot.messages_most:
                 return 0
-        waits = self.sent - self.left
+        waits = self.sent - max(self.left, left)
         free = int((0.9 * self.boot.most_waiting - waits) / len(proxies) - self.boot.overhead - 1)
         return max(0, free if urgent else min(free, int((self.usual - waits) / len(proxies))))
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
         self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
+        self.messages += len(proxies) * (lines > 0)
         for proxy in proxies if lines and self.boot.messages_most > 0 else ():
             self.written.setdefault(proxy, deque()).append(now)
 
@@ -434,7 +448,8 @@
         if self.sent <= already:
             return []
         self.mark = (self.mark + 1) % 65536
-        self.marks[self.mark] = already  # as many as the numbers allow are kept
+        self.marks[self.mark] = already, self.sent - already, self.messages, set()  # as many as numbers allow
+        self.messages = 0
         return [AskReceipt(self.mark, False)]
 
 
@@ -511,6 +526,8 @@
                 self.listen(now, event)
             elif isinstance(event, Receipt):
                 self.outbox.receipt(now, event)
+            elif isinstance(event, Proposal) and event.zone < self.boot.zones:
+                self.solver.proposed[event.zone] = now + LASTS * self.boot.period, dict(event.weights)
             elif isinstance(event, (Joined, Left)):
                 self.tables.leave(event.proxy)
                 self.est.came.pop(event.proxy, None)
@@ -541,6 +558,7 @@
 
     def improve(self, now: int) -> bool:
         est, home, tables, tasks = self.est, self.roster.zone, self.tables, self.roster.open()
+        self.solver.proposed = [(till, w if now <= till else {}) for till, w in self.solver.proposed]
         self.next_period = now + self.boot.period * 3 // 2
         if not tasks:
             return self.gate.decide(0.0, 0.0, True)
@@ -591,6 +609,9 @@
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         factor = self.health.factor[table]
         lines = self.solver.weights(table, zones)
+        if self.solver.proposed[table][1]:  # of few lines: no cold one gets more than it would among all
+            even = sum(lines.values()) / sum(part.values())
+            lines = {i: w if part[i] >= 1.0 else min(w / part[i], even) for i, w in lines.items()}
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
         caps = {i: factor[i] * part[i] + 2 * (i in sinks) for i in lines}
         return self.ramp.hold(lines, part, factor), caps
@@ -629,7 +650,9 @@
             self.owed = self.owed or len(unlisted) > free
             gone += unlisted[:free]
             spare = 0 if proxies and crowd else free - len(unlisted)
-            levels = levels if len(levels) <= spare else {}
+            opens = all(level > sent[k] for k, level in levels.items()) and not (proxies and crowd)
+            ahead = box.spare(now, proxies, False, box.proven) - len(gone) if opens else 0
+            levels = levels if len(levels) <= max(spare, ahead) else {}
             moved.sort(key=lambda i: (-abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
             moved = moved[:max(spare, 0)]
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -10,6 +10,7 @@
 from hollyridge.clone.front import CloneFront
 from hollyridge.core.loop import Loop, monotonic_us
 from hollyridge.core.machine import Machine
+from hollyridge.core.solving import Solving
 from hollyridge.keys.curve import Curve
 from hollyridge.keys.tls import context_of, load, shake
 from hollyridge.otlp.intake import Intake
@@ -52,6 +53,9 @@
             self.clone = CloneFront(self.loop, terms.clone_terms(), Presence(boot.drain_grace, boot.bare), keeper,
                                     terms.zone_finder(), self.task_name, log, context, self.curve, self.access,
                                     epoch)
+        self.solving = None
+        if terms.solver_terms() is not None:
+            self.solving = Solving(self.loop, terms.solver_terms(), log, gevent.get_hub().threadpool.apply)
         self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), self.status, log, self.access, secure)
 
     def task_name(self, task: int) -> str:
@@ -81,10 +85,16 @@
         ports = self.front.start(), self.intake.start()
         if self.clone is not None:
             self.clone.start()
+        self.begin()
         if self.terms.log.status_every_s:
             gevent.spawn(self.tell_status)
         return ports
 
+    def begin(self) -> None:
+        """Start what needs no socket."""
+        if self.solving is not None:
+            self.loop.spawn(self.solving.run)
+
     def run(self) -> None:
         self.loop.run()
 
@@ -115,7 +125,8 @@
 
     def status(self) -> dict:
         fronts = {"sasp": self.front.status(), **({"clone": self.clone.status()} if self.clone else {})}
-        return {"core": self.machine.status(), **fronts, "otlp": self.intake.status()}
+        solver = {"solver": self.solving.status()} if self.solving is not None else {}
+        return {"core": self.machine.status(), **fronts, "otlp": self.intake.status(), **solver}
 
     def tell_status(self) -> None:
         while True:
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Literal
@@ -12,6 +13,7 @@
 from hollyridge import interface as api
 from hollyridge.clone.front import CloneTerms
 from hollyridge.core.machine import Limits
+from hollyridge.core.solving import SolverTerms
 from hollyridge.keys.tls import TlsFiles
 from hollyridge.otlp.intake import OtlpTerms
 from hollyridge.sasp.front import SaspTerms
@@ -156,9 +158,19 @@
     status_every_s: NotNegative = 10
 
 
+class SolverSection(Section):
+    """The weight solver beside the loop. `handshake`: work of a new connection in average RPCs; `connections`: that a
+    task takes (0: not known)."""
+
+    on: bool = False
+    handshake: NotNegative = 0.05
+    connections: Annotated[int, Field(ge=0)] = 0
+    deadline_s: PositiveFloat = 0.5
+
+
 SECTIONS = {"assigner": AssignerSection, "channel": ChannelSection, "promises": PromisesSection,
             "proxies": ProxiesSection, "sasp": SaspSection, "clone": CloneSection, "otlp": OtlpSection,
-            "keys": KeysSection, "roster": RosterSection, "log": LogSection}
+            "keys": KeysSection, "roster": RosterSection, "log": LogSection, "solver": SolverSection}
 REPEATS = {"idempotent": api.Repeat.IDEMPOTENT, "tokened": api.Repeat.TOKENED,
            "non-idempotent": api.Repeat.NON_IDEMPOTENT}
 DROPPED_BY = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
@@ -239,6 +251,10 @@
                       2 * self.proxies.tasks_most, self.proxies.most, otlp.series_most, otlp.series_each,
                       otlp.rate_most, otlp.lines_per_period, 8 * otlp.lines_per_period, members)
 
+    def solver_terms(self) -> SolverTerms | None:
+        solver = self.solver
+        return SolverTerms(solver.handshake, solver.connections or math.inf, solver.deadline_s) if solver.on else None
+
     def tls_files(self) -> TlsFiles | None:
         names = self.keys.tls_certificate, self.keys.tls_key, self.keys.tls_clients
         return TlsFiles(*(str(self.folder / name) for name in names)) if all(names) else None
--- a/hollyridge/solving/feed.py
+++ b/hollyridge/solving/feed.py
@@ -7,6 +7,7 @@
 from hollyridge.solving.fleet import Fleet, Method, Task, Zone
 from hollyridge.solving.solver import Plan
 
+ENOUGH = 0.99  # part of the RPCs from which all counts as served
 DOUBT = 0.25  # of a rate that no busy period was heard of yet; it falls as more are
 
 
@@ -48,5 +49,9 @@
     return boot.cold_from + (1 - boot.cold_from) * max(0, now - started) / boot.warm_up
 
 
-def proposals(plan: Plan) -> list[api.Proposal]:
+def proposals(plan: Plan, pushes_back: bool) -> list[api.Proposal]:
+    """What the module is told. Where there is too little for everyone and nothing can be pushed back, all of it comes
+    all the same: a plan for what could be let in is no plan then, and the loop, which spreads, goes on alone."""
+    if not pushes_back and any(part < ENOUGH for row in plan.served for part in row):
+        return []
     return [api.Proposal(z, tuple(sorted(table.items()))) for z, table in enumerate(plan.tables) if table]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -240,7 +240,7 @@
     assert rig.assigner.tables.joining == []  # joins that waited for room were made good
 
 
-def test_a_receipt_from_any_proxy_proves_what_left_before_it_and_no_pace_is_believed_in():
+def test_a_receipt_proves_what_left_before_it_and_its_part_of_its_own_reply_and_no_pace_is_believed_in():
     box = Outbox(bootstrap())
     for _ in range(2):
         already = box.sent
@@ -252,8 +252,13 @@
     assert box.sent - box.left == 1600
     box.receipt(SECOND, api.Receipt(2, mark.mark, 9 * SECOND))
     assert box.sent - box.left == 800 and box.spare(0, [1], True) == 996
-    box.receipt(SECOND, api.Receipt(2, 999, 1))
-    assert box.left == 800
+    assert box.sent - box.proven == 400  # one of the two messages of its own reply
+    for again in (mark.mark, 999):  # the same proxy again, and a mark that nobody asked for
+        box.receipt(SECOND, api.Receipt(2, again, 1))
+        assert box.left == 800 and box.sent - box.proven == 400
+    box.receipt(SECOND, api.Receipt(1, mark.mark, 9 * SECOND))
+    assert box.sent == box.proven and box.left == 800  # pushes are held still, a level may open
+    assert box.spare(0, [1, 2], False) == 100 and box.spare(0, [1, 2], False, box.proven) == 500
     box.drain(20 * SECOND)  # nobody has answered for long
     assert box.sent == box.left
 
--- a/tests/test_solving.py
+++ b/tests/test_solving.py
@@ -11,12 +11,20 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
+from helpers import SECOND, START, bootstrap, entry, roster
+from test_service import rig, wait_for  # noqa: F401
 
+from hollyridge import interface as api
 from hollyridge.cli.main import main
 from hollyridge.client.picking import Picker
+from hollyridge.lab import script
+from hollyridge.lab.day import Day
+from hollyridge.lab.virtual import VirtualStage
+from hollyridge.rules import Assigner
 from hollyridge.settings.solve import load
 from hollyridge.solving import program
 from hollyridge.solving.choices import arrivals, weights_for
+from hollyridge.solving.feed import fleet_of, proposals
 from hollyridge.solving.fleet import Fleet, Method, NonsenseError, Task, Zone
 from hollyridge.solving.solver import Planner, cost_of, solve
 
@@ -201,3 +209,99 @@
     for words in ("[solve] busy", "[method a] work", "[zone z] demand", "[tasks t] rate", "[tasks u] zone", "[held q]",
                   "[nothing]"):
         assert words in ran.output
+
+
+def news(module, now, proposed=None, load=0.5, proxies=2, slow=1):
+    """A second of reports for four tasks of one zone, and what the module orders."""
+    events = [api.TrafficReport(0, i, 20, 0, 100_000 * (slow if i in (1, 2) else 1), SECOND, (load, 0.0))
+              for i in range(4)]
+    events += [api.OfferedLoad(40, SECOND, proxy, 0, 0) for proxy in range(proxies)]
+    if proposed is not None:
+        events.append(api.Proposal(0, tuple(proposed.items())))
+    return module.decide(now, events)
+
+
+def started():
+    """A module with four warm tasks and two proxies in one zone."""
+    module = Assigner(bootstrap(zones=1), 1)
+    module.decide(START, [roster([entry(i, 0) for i in range(4)]),
+                          *(api.Joined(20.0, False, proxy, 0) for proxy in range(2))])
+    return module
+
+
+def test_the_module_takes_what_is_proposed_where_it_gains_and_forgets_it_without_more():
+    """The gate pushes what saves latency, at once and not by tenths; a proposal that saves nothing is not pushed."""
+    ratio = {}
+    for name, proposed, slow in (("alone", None, 3), ("proposed", {0: 1.0, 1: 0.25, 2: 0.25, 3: 1.0}, 3),
+                                 ("gains nothing", {0: 1.0, 1: 0.25, 2: 0.25, 3: 1.0}, 1)):
+        module, now = started(), START
+        for _ in range(3):
+            now += SECOND
+            news(module, now, slow=slow)
+        for _ in range(3):
+            now += SECOND
+            news(module, now, proposed, slow=slow)
+        lines = module.tables.lines[0]
+        ratio[name] = lines[1] / lines[0]
+        assert any(module.solver.proposed[0][1].values()) == (proposed is not None)
+        for _ in range(6):
+            now += SECOND
+            news(module, now, slow=slow)
+        assert not module.solver.proposed[0][1]
+    assert ratio["proposed"] < 0.5 < 0.7 < ratio["alone"] and ratio["gains nothing"] == 1.0
+
+
+def test_what_is_known_becomes_a_fleet_and_a_plan():
+    module, now = started(), START
+    assert fleet_of(module, now, 0.05, 100.0) is None  # nothing heard yet
+    for _ in range(6):
+        now += SECOND
+        news(module, now)
+    one = fleet_of(module, now, 0.05, 100.0)
+    assert len(one.tasks) == 4 and one.zones[0].proxies == 2
+    assert one.zones[0].demand[0] == pytest.approx(80, rel=0.01)
+    assert one.tasks[0].rate == pytest.approx(40, rel=0.3)  # 20 a second at half its capacity
+    plan = solve(one)
+    told = proposals(plan, True)
+    assert [p.zone for p in told] == [0] and len(told[0].weights) == 4
+    short = solve(one._replace(zones=(one.zones[0]._replace(demand=(1000.0,)),)))
+    assert proposals(short, False) == [] and proposals(short, True)
+
+
+@pytest.mark.parametrize("change", [dict(load=0.0), dict(load=50.0), dict(load=-1.0)])
+def test_loads_that_can_not_be_do_no_harm(change):
+    module, now = started(), START
+    for _ in range(6):
+        now += SECOND
+        news(module, now, **change)
+    one = fleet_of(module, now, 0.05, math.inf)
+    if one is not None:
+        assert Planner(1.0).take(one) is not None
+
+
+def test_a_day_with_the_solver_beside_the_loop():
+    text = (SOLVE.parent / "lab" / "small.ini").read_text()
+    path = SOLVE.parent / "lab" / "_solver_test.ini"
+    try:
+        path.write_text(text + "\n[set solver]\non = yes\n")
+        loaded = script.load(path)
+    finally:
+        path.unlink()
+    raws = []
+    for _ in range(2):
+        stage = VirtualStage(loaded, "", 3)
+        told = Day(loaded, stage, 3).play()
+        assert all(v.kept for v in told.verdicts)
+        solver = stage.status[-1]["solver"]
+        assert solver["proposed"] > 5 and solver["late"] == solver["nonsense"] == 0
+        raws.append(msgspec.json.encode(stage.record.rows))
+    assert raws[0] == raws[1]
+
+
+def test_the_solver_runs_off_the_hub_in_the_program(rig):  # noqa: F811
+    r = rig(solver__on=True)
+    r.agent()
+    r.balancer()
+    assert wait_for(lambda: r.service.status()["solver"]["asked"] >= 1, 5)
+    status = r.service.status()["solver"]
+    assert status["unknown"] + status["proposed"] + status["too_little"] >= 1
