--- a/hollyridge/cli/solve.py
+++ b/hollyridge/cli/solve.py
@@ -2,35 +2,20 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import click
 import msgspec
 
 
-@contextmanager
-def quiet() -> Iterator[None]:
-    """The solver's library greets on standard output, past Python: that goes to standard error meanwhile."""
-    sys.stdout.flush()
-    kept = os.dup(1)
-    os.dup2(2, 1)
-    try:
-        yield
-    finally:
-        os.dup2(kept, 1)
-        os.close(kept)
-
-
 @click.command()
 @click.argument("file", type=click.Path())
 @click.option("--json", "as_json", is_flag=True)
 def solve(file: str, as_json: bool) -> None:
     """Weights within capacity for the fleet that FILE describes: tables by zone, what binds, what one more task would
     do, and what moves against the tables held now."""
+    from hollyridge.core.solving import wake
     from hollyridge.settings.ini import FaultsError
     from hollyridge.settings.solve import load
     from hollyridge.solving.fleet import NonsenseError
@@ -39,8 +24,8 @@
     try:
         fleet, deadline, groups = load(file)
         begun = time.monotonic()
-        with quiet():
-            plan = plan_of(fleet, deadline)
+        wake()
+        plan = plan_of(fleet, deadline)
         took = time.monotonic() - begun
     except FaultsError as trouble:
         for fault in trouble.faults:
--- a/hollyridge/core/solving.py
+++ b/hollyridge/core/solving.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import os
+import sys
 from collections.abc import Callable
 from typing import NamedTuple
 
 from hollyridge import interface as api
 from hollyridge.core.loop import Loop
+from hollyridge.solving import program
 from hollyridge.solving.feed import fleet_of, proposals
 from hollyridge.solving.solver import Planner
 
@@ -19,12 +22,25 @@
     deadline_s: float
 
 
+def wake() -> None:
+    """Have the solver's library ready. It greets on standard output, past Python: that goes to standard error."""
+    sys.stdout.flush()
+    kept = os.dup(1)
+    os.dup2(2, 1)
+    try:
+        program.library()
+    finally:
+        os.dup2(kept, 1)
+        os.close(kept)
+
+
 class Solving:
     """`apply(call, words)` runs a call elsewhere and waits for what it returns."""
 
     def __init__(self, loop: Loop, terms: SolverTerms, log, apply: Callable) -> None:
         self.loop, self.machine, self.terms, self.log, self.apply = loop, loop.machine, terms, log, apply
         self.planner = Planner(terms.deadline_s)
+        wake()
         self.counts = {"asked": 0, "proposed": 0, "unknown": 0, "too_little": 0}
         self.pushes_back = self.machine.boot.admission not in (api.Admission.OFF, api.Admission.SILENT)
 
--- a/hollyridge/lab/figures.py
+++ b/hollyridge/lab/figures.py
@@ -44,6 +44,7 @@
         "messages": sum(map(len, seen.messages.values())),
         "lines": sum(lines for some in seen.messages.values() for _, _, lines in some),
         **times(seen, by_time),
+        "connections": sum(row["k"] == "connected" for row in rows),
         "fell": sum(row["k"] == "fell" for row in rows),
         "timeline": [[s - seconds[0], round(by_time[s][0] / max(by_time[s][1], 1e-9), 4)] for s in seconds],
     }
--- a/hollyridge/lab/task.py
+++ b/hollyridge/lab/task.py
@@ -63,6 +63,7 @@
         if self.down or self.connections >= self.build.connections:
             return False
         self.connections += 1
+        self.record("connected", task=self.key)
         self.world.spawn(self.work, self.build.handshake_us * self.build.speed * self.handshake)
         return True
 
--- a/hollyridge/solving/feed.py
+++ b/hollyridge/solving/feed.py
@@ -39,7 +39,7 @@
     held = tuple(dict(tables.lines[z]) if tables.bound[z] else {} for z in range(boot.zones))
     pick = "p2c" if boot.pick == api.Pick.P2C else "random"
     return Fleet((Method("all", 1.0),), tuple(zones), tuple(tasks), held, boot.cross_zone_price, handshake,
-                 pick=pick, least_lines=max(2, boot.initial_set))
+                 pick=pick, least_lines=max(2, 2 * boot.initial_set))
 
 
 def stated_part(boot: api.Bootstrap, now: int, started: int) -> float:
--- a/hollyridge/solving/program.py
+++ b/hollyridge/solving/program.py
@@ -13,8 +13,8 @@
 from __future__ import annotations
 
 import math
-import threading
 from collections.abc import Sequence
+from functools import cache
 from typing import NamedTuple
 
 import highspy
@@ -26,12 +26,17 @@
 SEGMENTS = ((0.4, 1.0), (0.3, 1.6), (0.15, 3.5), (0.1, 10.0), (0.05, 40.0))
 LEAST_PART = 0.03  # of what a zone sends to a class, spread over all lines that it holds
 LIKE = 1.1  # tasks that may get so many times as much are no longer alike
-LOCAL = threading.local()
 TOUCH = 1e-6  # what was found is held to within so much, for the solver's own tolerance
 WIDE = 2.0  # so many times the lines that its work would fill
 OK = highspy.HighsModelStatus.kOptimal
 
 
+@cache
+def library() -> highspy.Highs:
+    """The one solver of this process: each new one greets on standard output. One plan at a time."""
+    return highspy.Highs()
+
+
 class LateError(Exception):
     """No answer within the deadline."""
 
@@ -93,7 +98,7 @@
         return len(self.rows) - 1
 
     def build(self) -> highspy.Highs:
-        highs = LOCAL.highs = getattr(LOCAL, "highs", None) or highspy.Highs()  # each new one greets on stdout
+        highs = library()
         highs.clear()
         for name, value in (("output_flag", False), ("threads", 1), ("parallel", "off"), ("random_seed", 0),
                             ("solver", "simplex"), ("time_limit", self.deadline_s)):
--- a/hollyridge/solving/solver.py
+++ b/hollyridge/solving/solver.py
@@ -54,6 +54,29 @@
     return frozenset(dropped)
 
 
+def widened(fleet: Fleet, answer: program.Answer) -> tuple[dict[int, float], ...]:
+    """Work by zone and task with no table under the least size: a few tasks can't even out bursts, whatever they can do
+    on average. Lines that are held come first, then the zone's own, then the emptiest; all are filled evenly."""
+    work = [dict(row) for row in answer.work]
+    rooms = {i: program.room_of(fleet, i) for i, task in enumerate(fleet.tasks) if program.room_of(fleet, i) > 0}
+    for z, mine in enumerate(work):
+        lacking = min(fleet.least_lines, len(rooms)) - len(mine)
+        if lacking <= 0 or not mine:
+            continue
+        load = dict.fromkeys(rooms, 0.0)
+        for at, row in enumerate(work):
+            for i, amount in row.items() if at != z else ():
+                load[i] += amount
+        held = fleet.held[z] if fleet.held else {}
+        start = z * len(rooms) // len(work)  # zones begin at different ones of those that are alike
+        others = sorted((i for i in rooms if i not in mine and (z, fleet.tasks[i].zone) not in fleet.cut),
+                        key=lambda i: (i not in held, fleet.tasks[i].zone != z, load[i] / rooms[i],
+                                       (i - start) % len(rooms)))
+        some = [*mine, *others[:lacking]]
+        work[z] = program.poured({i: load[i] for i in some}, {i: rooms[i] for i in some}, sum(mine.values()))
+    return tuple(work)
+
+
 def demand(fleet: Fleet, parts: tuple[tuple[float, ...], ...]) -> list[float]:
     """Work a second that is let in, by zone."""
     return [sum(d * m.work * part for d, m, part in zip(zone.demand, fleet.methods, row))
@@ -160,7 +183,7 @@
     if dropped:
         answer = program.place(fleet, deadline_s, dropped)
     tables = []
-    for z, work in enumerate(answer.work):
+    for z, work in enumerate(widened(fleet, answer)):
         whole = sum(work.values())
         if not whole:
             tables.append(dict(fleet.held[z]) if fleet.held else {})  # nothing comes there: as it is
--- a/tests/test_solving.py
+++ b/tests/test_solving.py
@@ -144,6 +144,17 @@
     assert cut.served[0][0] == pytest.approx(1.0, abs=1e-3) and cut.served[1][0] == pytest.approx(0.2, abs=1e-3)
 
 
+def test_no_table_is_too_narrow_for_bursts():
+    """Three tasks could carry it; a table of ten is what was asked for, held lines and the zone's own first."""
+    tasks = [(k % 2, 10.0, 1.0) for k in range(14)]
+    held = [{0: 1.0, 1: 1.0}, {}]
+    plan = solve(fleet(tasks, [15, 2], held=held, least_lines=10, handshake=0.001))
+    first = plan.tables[0]
+    assert len(first) == len(plan.tables[1]) == 10 and {0, 1, 2, 4, 6, 8, 10, 12} <= set(first)
+    assert max(plan.fill.values()) < 0.35
+    assert len(solve(fleet(tasks[:4], [15, 2], held=held, least_lines=10)).tables[0]) == 4  # there are no more
+
+
 def test_connections_that_tasks_take_are_a_limit():
     one = fleet([(0, 10.0, 1.0)] * 6, [20], held=[{0: 1.0}], least_lines=1, handshake=0.01)
     tight = one._replace(tasks=tuple(t._replace(connections=0 if i in (1, 2) else 50) for i, t in enumerate(one.tasks)))
