--- a/hollyridge/solving/feed.py
+++ b/hollyridge/solving/feed.py
@@ -18,11 +18,10 @@
     period, known = boot.period / 1e6, [i for i in roster.open() if i < len(est.does) and est.does[i] > 0]
     if not known:
         return None
-    sizes = [weight / skill for weight, skill in zip(module.solver.weight, module.solver.skill)]  # smoothed
-    usual = sum(est.does[i] for i in known) / sum(sizes[i] for i in known)
+    usual = sum(est.does[i] for i in known) / sum(roster.hint[i] for i in known)
     tasks = []
     for i, state in enumerate(roster.state):
-        does = usual * (sizes[i] if i < len(sizes) else roster.hint[i])
+        does = est.does[i] if i < len(est.does) and est.does[i] > 0 else usual * roster.hint[i]
         mine = est.failing([i])[0] / does if i < len(est.load) else 0.0
         others = max(0.0, est.load[i] - mine) if i < len(est.load) and boot.assigners > 1 else 0.0
         heard = est.busy[i] if i < len(est.busy) else 0.0
