--- a/tests/test_solving.py
+++ b/tests/test_solving.py
@@ -300,14 +300,11 @@
         assert Planner(1.0).take(one) is not None
 
 
-def test_a_day_with_the_solver_beside_the_loop():
+def test_a_day_with_the_solver_beside_the_loop(tmp_path):
     text = (SOLVE.parent / "lab" / "small.ini").read_text()
-    path = SOLVE.parent / "lab" / "_solver_test.ini"
-    try:
-        path.write_text(text + "\n[set solver]\non = yes\n")
-        loaded = script.load(path)
-    finally:
-        path.unlink()
+    path = tmp_path / "solver.ini"
+    path.write_text(text.replace("../loopback.ini", str(SOLVE.parent / "loopback.ini")) + "\n[set solver]\non = yes\n")
+    loaded = script.load(path)
     raws = []
     for _ in range(2):
         stage = VirtualStage(loaded, "", 3)
