Removals wait for want of messages only, not for want of room for lines

Cause: the wait that keeps drains within few messages also held removals while lines were short, which the long queue's own rule decides already. Change: it looks at messages alone.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -424,6 +424,10 @@
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= times * self.usual
 
+    def scarce(self, proxies: list[int]) -> bool:  # what can wait may be told to one of these no more
+        most = 0.6 * self.boot.messages_most
+        return most > 0 and any(len(self.written.get(proxy, ())) + 1 > most for proxy in proxies)
+
     def spare(self, now: int, proxies: list[int], urgent: bool, left: float = 0.0) -> int:
         if not proxies:
             return 1 << 30
@@ -632,7 +636,7 @@
             small = STEP * sum(lines.values()) / max(len(lines), 1)  # moves of smaller lines hardly count
             # What can't wait: closed tasks, and such as started again while they were listed as warm.
             gone = [i for i in before if i not in part or i in cold and cap_before[i] >= 1.0]
-            if gone and wait and (long or not box.spare(now, proxies, False)) and len(gone) < len(before):
+            if gone and wait and (long or box.scarce(proxies)) and len(gone) < len(before):
                 self.owed = True
                 continue
             # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
