Receipts of the newest mark only prove its own reply; nothing grows with time

Change: only the newest mark's tellers are kept, which is all that was needed: nothing follows the last push.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -404,9 +404,9 @@
         # So far may what can wait fill the channel: a drain ordered behind it is still in time.
         in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
         self.usual = min(boot.most_waiting / 2, in_time)
-        # By mark: lines sent before its reply, its own, how many messages it is, who has told of it.
-        self.marks: dict[int, tuple[float, float, int, set[int]]] = {}
-        self.messages = 0  # booked since the last mark
+        self.marks: dict[int, float] = {}  # lines sent before each mark's reply
+        self.messages = self.own = 0  # booked since the last mark, and of the last mark's reply
+        self.told: set[int] = set()  # who has told of that reply
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
 
     def drain(self, now: int) -> None:
@@ -415,11 +415,12 @@
         self.at = now
 
     def receipt(self, now: int, receipt: Receipt) -> None:
-        before, lines, messages, told = self.marks.get(receipt.mark, (0.0, 0.0, 1, set()))
+        before = self.marks.get(receipt.mark, 0.0)
         self.left, self.heard = max(self.left, before), now
-        if self.proven < before + lines:  # or nothing would prove the last reply: levels would wait for long
-            told.add(receipt.proxy)
-            self.proven = max(self.proven, before + lines * min(1.0, len(told) / max(messages, 1)))
+        if receipt.mark == self.mark and self.own:  # else nothing would prove the last reply
+            self.told.add(receipt.proxy)
+            part = min(1.0, len(self.told) / self.own)
+            self.proven = max(self.proven, before + (self.sent - before) * part * (not self.messages))
 
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= times * self.usual
@@ -452,8 +453,8 @@
         if self.sent <= already:
             return []
         self.mark = (self.mark + 1) % 65536
-        self.marks[self.mark] = already, self.sent - already, self.messages, set()  # as many as numbers allow
-        self.messages = 0
+        self.marks[self.mark] = already  # as many as the numbers allow are kept
+        self.own, self.messages, self.told = self.messages, 0, set()
         return [AskReceipt(self.mark, False)]
 
 
