One reading of lists in settings, one sum of loads, one simple baseline

Cause: a last reading: four copies of a validator for lists, the same sum of loads and times of tasks twice in the solver, the even baseline beside the class that does the same, what nothing read (an answer's cost, row numbers, a client's identity by hand), a sum formed anew for each line of a table. Change: one piece each.

--- a/hollyridge/clone/client.py
+++ b/hollyridge/clone/client.py
@@ -18,15 +18,14 @@
 
     def __init__(self, address: tuple[str, int], uid: str, methods: list[str], zmq=None, context=None,
                  source: str = "", client: Client | None = None, heard: Callable | None = None,
-                 keys: Callable = lambda sock: None, clock: Callable[[], float] = time.monotonic,
-                 identity: bytes = b"") -> None:
+                 keys: Callable = lambda sock: None, clock: Callable[[], float] = time.monotonic) -> None:
         if zmq is None:
             import zmq
         self.zmq, self.uid, self.heard = zmq, uid, heard
         self.client = client or Client(uid, methods)
         for replica in self.client.replicas.values():
             replica.begin()
-        self.clock, self.identity = clock, identity or b"\x01" + os.urandom(12)
+        self.clock, self.identity = clock, b"\x01" + os.urandom(12)
         context = context or zmq.Context.instance()
         self.dealer, self.sub, self.push = (context.socket(kind) for kind in (zmq.DEALER, zmq.SUB, zmq.PUSH))
         self.dealer.identity = self.identity
--- a/hollyridge/lab/day.py
+++ b/hollyridge/lab/day.py
@@ -81,6 +81,9 @@
         for agent in self.agents:
             self.world.later(self.notice(silent), getattr(agent, what), *words)
 
+    def tell_running(self, unit: Unit) -> None:
+        self.tell("running", unit.key, unit.name, unit.run, unit.born)
+
     def heard(self, facts: dict) -> None:
         if "started" in facts:
             self.started[facts["run"]].set(facts["key"])
@@ -187,7 +190,7 @@
 
     def replace(self, unit: Unit) -> None:
         new = self.new_unit(unit.zone, cold=True)
-        self.tell("running", new.key, new.name, new.run, new.born)
+        self.tell_running(new)
         self.tell("drains", unit.key)
         self.world.sleep(self.script.day.notice_ms[1] / 1e3 + self.terms.promises.drain_grace_s + 1.5)
         if unit.up:
@@ -218,7 +221,7 @@
         for unit in units:
             self.stop_task(unit)
             self.run_task(unit, cold=True)
-            self.tell("running", unit.key, unit.name, unit.run, unit.born)
+            self.tell_running(unit)
 
     def vanish(self, trouble: TroubleSection) -> None:
         """Machines go silent: no answer, no reset connection."""
@@ -246,7 +249,7 @@
         count = max(1, round((trouble.size - 1) * len(self.standing_units())))
         for made in range(1, count + 1):
             unit = self.new_unit(made % len(self.zones), cold=True)
-            self.tell("running", unit.key, unit.name, unit.run, unit.born)
+            self.tell_running(unit)
             self.scale(trouble, 1 + (trouble.size - 1) * trouble.extra * made / count)
             self.world.sleep(trouble.for_s / count)
 
--- a/hollyridge/lab/plots.py
+++ b/hollyridge/lab/plots.py
@@ -109,15 +109,12 @@
         if row["k"] == "state":
             states[row.get("assigner", 0)].append(row)
 
-    def told(key: str, title: str = ""):
-        def draw(axes) -> None:
-            for number, some in sorted(states.items()):
-                axes.plot([(row["t"] - start) / 1e6 for row in some], [row.get(key) or 0.0 for row in some], lw=0.9,
-                          label=f"assigner {number}")
-            axes.set_ylabel(title)
-            axes.legend(fontsize=7, loc="upper left")
-            marked(axes)
-        return draw
+    def waiting(axes) -> None:
+        for number, some in sorted(states.items()):
+            axes.plot([(row["t"] - start) / 1e6 for row in some], [row["waiting"] for row in some], lw=0.9,
+                      label=f"assigner {number}")
+        axes.legend(fontsize=7, loc="upper left")
+        marked(axes)
 
     def gate(axes) -> None:
         for number, some in sorted(states.items()):
@@ -136,7 +133,7 @@
         axes.set_ylim(0, 1.05)
         axes.legend(fontsize=7, loc="lower left")
         marked(axes)
-    more = [("Lines that wait in an assigner's channel", picture(told("waiting"))),
+    more = [("Lines that wait in an assigner's channel", picture(waiting)),
             ("The gate: price U of a push, and the gain that it is held against", picture(gate)),
             ("Levels: what part is let in", picture(levels))] if states else []
     lead = [f"{len(done)} RPCs, {sum(row['ok'] for row in done)} ok, {len(seen.messages)} proxies; orange lines mark "
--- a/hollyridge/lab/policies.py
+++ b/hollyridge/lab/policies.py
@@ -7,31 +7,6 @@
 from hollyridge.rules import Assigner
 
 
-class Even:
-    """Every open task in every table with the same weight; changes only with the list."""
-
-    def __init__(self, boot: api.Bootstrap, seed: int) -> None:
-        self.open: dict[int, int] = {}
-        self.zones = boot.zones
-
-    def decide(self, now: int, events: list) -> list:
-        orders: list = []
-        joined = []
-        for event in events:
-            if isinstance(event, api.RosterChange):
-                for entry in event.entries:
-                    ready = entry.state == api.TaskState.READY
-                    if ready != (entry.task in self.open):
-                        orders += [api.PutLine(float(ready), entry.task, table) for table in range(self.zones)]
-                    if ready:
-                        self.open[entry.task] = 1
-                    else:
-                        self.open.pop(entry.task, None)
-            elif isinstance(event, api.Joined):
-                joined.append(api.Attach(event.proxy, event.zone, 0))
-        return orders + joined
-
-
 class Simple:
     """Tables by zone, changed whenever `weights(zone)` changes. For baselines."""
 
@@ -66,6 +41,13 @@
         return puts + orders
 
 
+class Even(Simple):
+    """Every open task in every table with the same weight; changes only with the list."""
+
+    def weights(self, zone: int) -> dict[int, float]:
+        return dict.fromkeys(self.open, 1.0)
+
+
 class Static(Simple):
     """What each table began with; only closed tasks leave, and others come only when none is left."""
 
--- a/hollyridge/lab/script.py
+++ b/hollyridge/lab/script.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import Field, PositiveFloat, PositiveInt, ValidationInfo, field_validator
+from pydantic import Field, PositiveFloat, PositiveInt
 
 from hollyridge.settings import assigner
-from hollyridge.settings.ini import FaultsError, Section, check, read_file
+from hollyridge.settings.ini import SEVERAL, FaultsError, Section, check, read_file
 
 KINDS = {
     # kind: the forms it has, the first where none is named
@@ -18,6 +18,7 @@
     "zone_cut": ("tasks", "all"), "slow_link": ("zone", "pair"), "streams_broken": (), "slow_orders": (), "unread": (),
     "proxies_killed": (), "proxies_stalled": ("apart", "zone"), "assigner_killed": (), "assigner_stalled": ()}
 Part = Annotated[float, Field(gt=0, le=1)]
+Two = Annotated[list[float], Field(min_length=2, max_length=2), SEVERAL]
 
 
 class DaySection(Section):
@@ -26,13 +27,8 @@
     settings: str
     length_s: Annotated[float, Field(gt=2, le=3600)]
     seed: int = 1
-    notice_ms: Annotated[list[float], Field(min_length=2, max_length=2)] = [300, 1500]
-    silent_notice_ms: Annotated[list[float], Field(min_length=2, max_length=2)] = [2000, 6000]
-
-    @field_validator("notice_ms", "silent_notice_ms", mode="before")
-    @classmethod
-    def two(cls, value: object, _info: ValidationInfo) -> object:
-        return value.replace(",", " ").split() if isinstance(value, str) else value
+    notice_ms: Two = [300, 1500]
+    silent_notice_ms: Two = [2000, 6000]
 
 
 class FleetSection(Section):
@@ -47,17 +43,11 @@
     cold_s: PositiveFloat = 10
     handshake_ms: Annotated[float, Field(ge=0)] = 5
     connections: PositiveInt = 200
-    fronts: list[Literal["sasp", "clone"]] = ["sasp"]
+    fronts: Annotated[list[Literal["sasp", "clone"]], SEVERAL] = ["sasp"]
     cache_s: Annotated[float, Field(ge=0)] = 0
     cache_keys: PositiveInt = 200
     cache_gain: Annotated[float, Field(ge=0, lt=1)] = 0.2
 
-    @field_validator("fronts", mode="before")
-    @classmethod
-    def several(cls, value: object) -> object:
-        return value.replace(",", " ").split() if isinstance(value, str) else value
-
-
 class NetSection(Section):
     """One way, in the simulated world; a frame of orders takes `orders_ms`."""
 
@@ -73,20 +63,14 @@
     """`work_ms` and `shares` in the order of the methods in the settings."""
 
     rpcs_per_s: PositiveFloat = 90
-    work_ms: list[PositiveFloat] = [100]
-    shares: list[PositiveFloat] = [1]
+    work_ms: Annotated[list[PositiveFloat], SEVERAL] = [100]
+    shares: Annotated[list[PositiveFloat], SEVERAL] = [1]
     client_retries: Annotated[int, Field(ge=0, le=10)] = 2
     reckless: bool = False
     try_share: Part = 0.7
     keys: Annotated[int, Field(ge=0, le=1_000_000)] = 0
     zipf: Annotated[float, Field(ge=0, le=3)] = 0.8
 
-    @field_validator("work_ms", "shares", mode="before")
-    @classmethod
-    def several(cls, value: object) -> object:
-        return value.replace(",", " ").split() if isinstance(value, str) else value
-
-
 class TroubleSection(Section):
     """What `size` and `extra` mean hangs on the kind; `docs/lab.md` has the table."""
 
@@ -146,16 +130,17 @@
     if assigners:
         overrides["assigner", "assigners"] = str(assigners)
     listen = "127.0.0.1:3870" if found["fleet"] is not None and "clone" in found["fleet"].fronts else ""
+
+    def assigner_terms() -> assigner.AssignerTerms:
+        return assigner.load(settings or path.parent / found["day"].settings,
+                             {**overrides, ("clone", "listen"): listen})
     if found["day"] is not None:
         try:
-            terms = assigner.load(settings or path.parent / found["day"].settings,
-                                  {**overrides, ("clone", "listen"): listen})
+            terms = assigner_terms()
             if times != 1.0:
-                channel = {("channel", key): str(getattr(terms.channel, key) * times * times)
-                           for key in ("lines_per_s", "most_waiting")}
-                overrides.update(channel)
-                terms = assigner.load(settings or path.parent / found["day"].settings,
-                                      {**overrides, ("clone", "listen"): listen})
+                overrides.update({("channel", key): str(getattr(terms.channel, key) * times * times)
+                                  for key in ("lines_per_s", "most_waiting")})
+                terms = assigner_terms()
         except FaultsError as trouble:
             faults += [f"{found['day'].settings}: {fault}" for fault in trouble.faults]
     if terms is not None and found["load"] is not None:
--- a/hollyridge/lab/sweep.py
+++ b/hollyridge/lab/sweep.py
@@ -81,6 +81,6 @@
     table = [{key: value for key, value in row.items() if key not in ("parts", "nearest")} for row in good]
     failed = [f"{row['times']} times, {row['assigners']} assigners: {row['failed']}" for row in rows if "failed" in row]
     return write(out, name, ["One simulated day at growing size.", *failed], table, [
-        ("CPU seconds for a simulated second", picture(lambda axes: curve("cpu_per_s", "s")(axes))),
+        ("CPU seconds for a simulated second", picture(curve("cpu_per_s", "s"))),
         ("Memory", picture(curve("rss_mb", "MB"))), ("Lines sent", picture(curve("lines", "lines"))),
         ("How near the rules came to their limits", picture(nearest)), ("Where the time goes", picture(parts))])
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -17,7 +17,7 @@
 from hollyridge.keys.tls import TlsFiles
 from hollyridge.otlp.intake import OtlpTerms
 from hollyridge.sasp.front import SaspTerms
-from hollyridge.settings.ini import FaultsError, Section, check, read_file
+from hollyridge.settings.ini import FaultsError, Section, check, read_file, words
 from hollyridge.steering.access import Bearer
 from hollyridge.steering.advice import shown_methods
 from hollyridge.steering.members import Terms
@@ -343,10 +343,6 @@
     return terms
 
 
-def words(text: str) -> tuple[str, ...]:
-    return tuple(text.replace(",", " ").split())
-
-
 def networks_of(where: str, text: str, faults: list[str]) -> list:
     found = []
     for word in words(text):
--- a/hollyridge/settings/ini.py
+++ b/hollyridge/settings/ini.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
 
 MOST_BYTES = 1 << 20
 
@@ -28,6 +28,17 @@
 Model = TypeVar("Model", bound=Section)
 
 
+def words(text: str) -> tuple[str, ...]:
+    """
+    >>> words("a, b  c")
+    ('a', 'b', 'c')
+    """
+    return tuple(text.replace(",", " ").split())
+
+
+SEVERAL = BeforeValidator(lambda value: list(words(value)) if isinstance(value, str) else value)  # for keys with lists
+
+
 def read_file(path: Path | str) -> configparser.ConfigParser:
     """Raises FaultsError for a file that can't be read as INI."""
     parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",), strict=True,
--- a/hollyridge/settings/solve.py
+++ b/hollyridge/settings/solve.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import Field, NonNegativeFloat, PositiveFloat, PositiveInt, field_validator
+from pydantic import Field, NonNegativeFloat, PositiveFloat, PositiveInt
 
-from hollyridge.settings.ini import FaultsError, Section, check, read_file
+from hollyridge.settings.ini import SEVERAL, FaultsError, Section, check, read_file
 from hollyridge.solving.fleet import Fleet, Method, Task, Zone
 
 
@@ -32,15 +32,9 @@
     """`demand`: RPCs a second by method, in the order of the methods."""
 
     proxies: Annotated[int, Field(ge=0)] = 1
-    demand: list[NonNegativeFloat]
+    demand: Annotated[list[NonNegativeFloat], SEVERAL]
     out: NonNegativeFloat = 1.0
 
-    @field_validator("demand", mode="before")
-    @classmethod
-    def several(cls, value: object) -> object:
-        return value.replace(",", " ").split() if isinstance(value, str) else value
-
-
 class TasksSection(Section):
     """So many tasks that are alike."""
 
--- a/hollyridge/solving/program.py
+++ b/hollyridge/solving/program.py
@@ -2,8 +2,8 @@
 
 Tasks that are alike (zone, what they may get within a tenth, connections, who holds them) are one class with the sum of
 their capacities, shared out by what each may get: that keeps the program small, and gives equal tasks equal weights
-whatever their names. Work is counted in parts of all
-that comes, so that no answer hangs on units. One thread, the simplex, inputs in a fixed order: the same in any process.
+whatever their names. Work is counted in parts of all that comes, so that no answer hangs on units. One thread, the
+simplex, inputs in a fixed order: the same in any process.
 
 In two stages. First how much can be served, by criticality: for each rank the largest part that every zone can have,
 then what is left over. Then where it goes: a piecewise linear cost that rises with how full a class is (after Fortz and
@@ -63,10 +63,11 @@
     alike: dict[tuple, list[int]] = {}
     held = fleet.held or tuple({} for _ in fleet.zones)
     for i, task in enumerate(fleet.tasks):
-        if task.open and room_of(fleet, i) > 0:
+        room = room_of(fleet, i)
+        if room > 0:
             links = tuple(i in table for table in held)
             barred = tuple((z, i) in dropped for z in range(len(fleet.zones)))
-            size = round(math.log(room_of(fleet, i)) / math.log(LIKE))
+            size = round(math.log(room) / math.log(LIKE))
             alike.setdefault((task.zone, size, task.connections, links, barred), []).append(i)
     rows = []
     for (zone, _, connections, links, _), tasks in sorted(alike.items()):
@@ -93,9 +94,8 @@
         self.high.append(high)
         return len(self.cost) - 1
 
-    def row(self, low: float, high: float, terms: Sequence[tuple[int, float]]) -> int:
+    def row(self, low: float, high: float, terms: Sequence[tuple[int, float]]) -> None:
         self.rows.append((low, high, [column for column, _ in terms], [factor for _, factor in terms]))
-        return len(self.rows) - 1
 
     def build(self) -> highspy.Highs:
         highs = library()
@@ -150,7 +150,6 @@
     served: tuple[tuple[float, ...], ...]
     work: tuple[dict[int, float], ...]
     full: tuple[Class, ...]
-    cost: float
 
 
 def ranks(fleet: Fleet) -> list[list[int]]:
@@ -247,8 +246,9 @@
         start = z * count // len(fleet.zones)
         turned = {i: at for at, i in enumerate(group.tasks[start:] + group.tasks[:start])}
         lines = sorted(group.tasks, key=lambda i: (round(load[i] / rooms[i], 9), turned[i]))[:many]
+        whole = sum(rooms[i] for i in lines)
         for i in lines:
-            work[z][i] = amounts[z] * rooms[i] / sum(rooms[i] for i in lines)
+            work[z][i] = amounts[z] * rooms[i] / whole
             load[i] += work[z][i]
     for z in amounts:
         if z not in need:
@@ -286,4 +286,4 @@
         deal(fleet, group, {z: a for z, a in amounts.items() if a > 1e-6 * model.whole}, shakes, work)
     full = tuple(group for g, group in enumerate(model.groups)
                  if sum(values[fill] for fill in model.fills[g]) * model.whole > 0.999 * group.room)
-    return Answer(tuple(map(tuple, parts)), tuple(work), full, float(model.lp.highs.getObjectiveValue()))
+    return Answer(tuple(map(tuple, parts)), tuple(work), full)
--- a/hollyridge/solving/solver.py
+++ b/hollyridge/solving/solver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from statistics import median
 from typing import NamedTuple
 
@@ -58,7 +59,7 @@
     """Work by zone and task with no table under the least size: a few tasks can't even out bursts, whatever they can do
     on average. Lines that are held come first, then the zone's own, then the emptiest; all are filled evenly."""
     work = [dict(row) for row in answer.work]
-    rooms = {i: program.room_of(fleet, i) for i, task in enumerate(fleet.tasks) if program.room_of(fleet, i) > 0}
+    rooms = {i: room for i in range(len(fleet.tasks)) if (room := program.room_of(fleet, i)) > 0}
     for z, mine in enumerate(work):
         lacking = min(fleet.least_lines, len(rooms)) - len(mine)
         if lacking <= 0 or not mine:
@@ -83,30 +84,36 @@
             for zone, row in zip(fleet.zones, parts)]
 
 
+def times_of(fleet: Fleet, lines: Iterable[int]) -> list[float]:
+    """How long an RPC takes at each task, relative to each other: longer where less can be done."""
+    return [1 / max(program.room_of(fleet, i), 1e-9) for i in lines]
+
+
+def loads(shares: tuple[dict[int, float], ...], work: list[float]) -> dict[int, float]:
+    """Work a second at each task, from what zones send and the shares that arrive."""
+    load: dict[int, float] = {}
+    for table, amount in zip(shares, work):
+        for i, share in table.items():
+            load[i] = load.get(i, 0.0) + share * amount
+    return load
+
+
 def arriving(fleet: Fleet, tables: tuple[dict[int, float], ...]) -> tuple[dict[int, float], ...]:
     """The share of each zone's RPCs that arrives by line, as its proxies pick."""
     shares = []
     for z, table in enumerate(tables):
         lines = {i: w for i, w in table.items() if w > 0}
-        if not lines:
-            shares.append({})
-            continue
-        fill = {i: max(program.room_of(fleet, i), 1e-9) for i in lines}
-        times = [1 / fill[i] for i in lines]  # a task that can do less takes longer for each
-        shares.append(dict(zip(lines, arrivals(list(lines.values()), fleet.zones[z].out, times, fleet.pick))))
+        found = arrivals(list(lines.values()), fleet.zones[z].out, times_of(fleet, lines), fleet.pick) if lines else ()
+        shares.append(dict(zip(lines, found)))
     return tuple(shares)
 
 
 def cost_of(fleet: Fleet, shares: tuple[dict[int, float], ...], work: list[float]) -> float:
     """What the program minimises, for any tables: how full tasks are, and crossings; without what changes cost."""
     whole = sum(work) or 1.0
-    load: dict[int, float] = {}
-    cost = 0.0
-    for z, table in enumerate(shares):
-        for i, share in table.items():
-            load[i] = load.get(i, 0.0) + share * work[z]
-            cost += fleet.crossing * (fleet.tasks[i].zone != z) * share * work[z] / whole
-    for i, amount in load.items():
+    cost = sum(fleet.crossing * share * work[z] / whole
+               for z, table in enumerate(shares) for i, share in table.items() if fleet.tasks[i].zone != z)
+    for i, amount in loads(shares, work).items():
         left, room = amount, program.room_of(fleet, i)
         for part, slope in program.SEGMENTS:
             here = min(left, part * room)
@@ -188,16 +195,12 @@
         if not whole:
             tables.append(dict(fleet.held[z]) if fleet.held else {})  # nothing comes there: as it is
             continue
-        times = [1 / max(program.room_of(fleet, i), 1e-9) for i in work]
         tables.append(dict(zip(work, weights_for([amount / whole for amount in work.values()], fleet.zones[z].out,
-                                                 times, fleet.pick))))
+                                                 times_of(fleet, work), fleet.pick))))
     plan = tuple(tables)
     shares, work = arriving(fleet, plan), demand(fleet, answer.served)
-    load: dict[int, float] = {}
-    for z, table in enumerate(shares):
-        for i, share in table.items():
-            load[i] = load.get(i, 0.0) + share * work[z]
-    fill = {i: amount / max(fleet.tasks[i].rate * fleet.tasks[i].part, 1e-9) for i, amount in load.items()}
+    fill = {i: amount / max(fleet.tasks[i].rate * fleet.tasks[i].part, 1e-9)
+            for i, amount in loads(shares, work).items()}
     before = cost_of(fleet, arriving(fleet, fleet.held), work) if fleet.held and any(fleet.held) else 0.0
     gain = (before - cost_of(fleet, shares, work)) / before if before > 0 else 1.0
     why = reasons(fleet, answer, fill, deadline_s) if explain else []
