Solver prices bursts and mixes alike for all zones; torn tables bring the rest along

Seen second by second: two of eight tasks got nine tenths of a zone's RPCs until the gate saw a gain, and each zone kept to two of four equal tasks.

Change: cost of filling from queueing theory in 14 pieces; the same mix over equally full tasks of a zone; a plan lapses once over a tenth of its weight has left; a table that loses half its weight at once brings its other lines along, beside the gate. `GET /fleet` and `hollyridge solve http://ADDRESS:PORT` for what a running assigner knows.

--- a/hollyridge/cli/solve.py
+++ b/hollyridge/cli/solve.py
@@ -4,25 +4,42 @@
 
 import sys
 import time
+from http.client import HTTPConnection, HTTPException
+from urllib.parse import urlsplit
 
 import click
 import msgspec
 
 
+def fetch(url: str) -> bytes:
+    """What the assigner there knows of its fleet. OSError or ValueError where it tells nothing."""
+    parts = urlsplit(url)
+    line = HTTPConnection(parts.hostname, parts.port, timeout=5)
+    try:
+        line.request("GET", "/fleet")
+        answer = line.getresponse()
+        if answer.status != 200:
+            raise ValueError(f"no description yet (status {answer.status}): reports of busy tasks must have come")
+        return answer.read((1 << 20) + 1)
+    finally:
+        line.close()
+
+
 @click.command()
 @click.argument("file", type=click.Path())
 @click.option("--json", "as_json", is_flag=True)
 def solve(file: str, as_json: bool) -> None:
     """Weights within capacity for the fleet that FILE describes: tables by zone, what binds, what one more task would
-    do, and what moves against the tables held now."""
+    do, and what moves against the tables held now. FILE may be http://ADDRESS:PORT, an assigner's OTLP address: then
+    what that assigner knows now is taken."""
     from hollyridge.core.solving import wake
     from hollyridge.settings.ini import FaultsError
-    from hollyridge.settings.solve import load
+    from hollyridge.settings.solve import load, read_text
     from hollyridge.solving.fleet import NonsenseError
     from hollyridge.solving.program import LateError
     from hollyridge.solving.solver import solve as plan_of
     try:
-        fleet, deadline, groups = load(file)
+        fleet, deadline, groups = read_text(fetch(file), file) if file.startswith("http://") else load(file)
         begun = time.monotonic()
         wake()
         plan = plan_of(fleet, deadline)
@@ -31,6 +48,9 @@
         for fault in trouble.faults:
             click.echo(f"{file}: {fault}", err=True)
         sys.exit(2)
+    except (OSError, HTTPException, ValueError) as trouble:
+        click.echo(f"{file}: {trouble}", err=True)
+        sys.exit(1)
     except (NonsenseError, LateError) as trouble:
         click.echo(f"{file}: no plan, tables stay as they are: {trouble}", err=True)
         sys.exit(1)
--- a/hollyridge/otlp/intake.py
+++ b/hollyridge/otlp/intake.py
@@ -1,4 +1,5 @@
-"""The OTLP receiver: `POST /v1/metrics` by HTTP, protobuf or JSON, gzip or plain; `GET /status`.
+"""The OTLP receiver: `POST /v1/metrics` by HTTP, protobuf or JSON, gzip or plain; `GET` for pages such as
+`/status` and `/fleet`.
 
 Errors are answered as the protocol has them: 400 for what can't be read, 413 for too much, 429 with a time to
 come back when a sender is too fast, partial success for points that do not count.
@@ -11,7 +12,6 @@
 from typing import NamedTuple
 
 import gevent
-import msgspec
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from google.protobuf import json_format
@@ -101,12 +101,12 @@
 
 
 class Intake:
-    """`status()` is what `GET /status` answers."""
+    """`pages`: what `GET` of a path answers, its type and the call that writes it (None: nothing there yet)."""
 
-    def __init__(self, loop: Loop, terms: OtlpTerms, names: Names, status: Callable[[], dict], log,
+    def __init__(self, loop: Loop, terms: OtlpTerms, names: Names, pages: dict[str, tuple[str, Callable]], log,
                  access: Access = OPEN, secure: Callable | None = None) -> None:
         self.access = access
-        self.loop, self.terms, self.names, self.status_of, self.log = loop, terms, names, status, log
+        self.loop, self.terms, self.names, self.pages, self.log = loop, terms, names, pages, log
         self.running = Running(loop.machine.limits.most_series)
         self.pace = Bucket(terms.points_per_s, 2 * terms.points_per_s)
         self.counts = dict.fromkeys(("requests", "points", "rejected", "bad", "slowed"), 0)
@@ -129,8 +129,12 @@
         as_json = kind == "application/json"
         extra: list[tuple[str, str]] = []
         try:
-            if path == "/status" and verb == "GET":
-                kind, body, status = "application/json", msgspec.json.encode(self.status_of()), 200
+            if path in self.pages and verb == "GET":
+                written, call = self.pages[path]
+                body = call()
+                if body is None:
+                    raise BadError(503, "nothing is known yet")
+                kind, status = written, 200
             else:
                 status, body = 200, self.metrics(environ, path, verb, kind, as_json)
         except BadError as trouble:
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -338,9 +338,11 @@
     def weights(self, zone: int, zones: list[list[int]]) -> dict[int, float]:
         """All of its own tasks, and so many of each other zone that a line is worth its place; or what is
         proposed, trimmed by skill."""
-        lines = {i: self.proposed[zone][1].get(i, 0.0) * self.skill[i] for kin in zones for i in kin}
-        if any(lines.values()):
-            return {i: w for i, w in lines.items() if w > 0}
+        proposed = self.proposed[zone][1]
+        lines = {i: proposed[i] * self.skill[i] for kin in zones for i in kin if proposed.get(i, 0.0) > 0}
+        # What is left of a plan whose tasks left with a zone is no plan: it kept little where it is to go now.
+        if lines and sum(proposed[i] for i in lines) > (1 - STEP) * sum(proposed.values()):
+            return lines
         lines = {}
         for to, kin in enumerate(zones):
             reach = self.reach[zone][to] or self.least(len(zones[zone]), sum(map(len, zones)))
@@ -640,9 +642,11 @@
             if gone and wait and (long or box.scarce(proxies)) and len(gone) < len(before):
                 self.owed = True
                 continue
+            # A table that loses half its weight brings the rest along: what was left to them says nothing now.
+            torn = sum(before[i] for i in gone) > WORTH * sum(before.values())
             # New tasks and moved caps go beside the gate. Warm ones leave like the rest, while others stay.
             moved = [i for i in lines if i not in before or cap_before.get(i) != caps[i]
-                     or push and abs(lines[i] - before[i]) > STEP * max(before[i], small)]
+                     or (push or torn) and abs(lines[i] - before[i]) > STEP * max(before[i], small)]
             if not lines or any(i in before for i in lines):
                 moved += [i for i in away if i in part and i not in cold]
             moved = [i for i in moved if i not in gone]
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import gevent
+import msgspec
 import zmq.green as zmq
 
 from hollyridge.clone.front import CloneFront
@@ -19,6 +21,8 @@
 from hollyridge.sasp.codec import Member
 from hollyridge.sasp.front import SaspFront
 from hollyridge.settings.assigner import AssignerTerms
+from hollyridge.settings.solve import write
+from hollyridge.solving.feed import fleet_of, without_the_gone
 from hollyridge.steering.access import Access
 from hollyridge.steering.doorkeeper import Doorkeeper
 from hollyridge.steering.presence import Presence
@@ -56,12 +60,26 @@
         self.solving = None
         if terms.solver_terms() is not None:
             self.solving = Solving(self.loop, terms.solver_terms(), log, gevent.get_hub().threadpool.apply)
-        self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), self.status, log, self.access, secure)
+        pages = {"/status": ("application/json", lambda: msgspec.json.encode(self.status())),
+                 "/fleet": ("text/plain; charset=utf-8", self.fleet)}
+        self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), pages, log, self.access, secure)
 
     def task_name(self, task: int) -> str:
         address, port, _ = self.machine.tasks.names[task]
         return f"{Member(address, port).host}:{port}"
 
+    def fleet(self) -> bytes | None:
+        """What the weight solver would be told now, as `hollyridge solve` reads it; None if nothing is known."""
+        module, solver = self.machine.module, self.terms.solver
+        if not isinstance(module, Assigner):  # a baseline of the laboratory knows nothing of the kind
+            return None
+        fleet = fleet_of(module, self.loop.clock(), solver.handshake, solver.connections or math.inf)
+        if fleet is None:
+            return None
+        zones = tuple(zone._replace(name=name) for zone, name in zip(fleet.zones, self.terms.zone_names))
+        tasks = tuple(task._replace(name=self.task_name(i)) for i, task in enumerate(fleet.tasks))
+        return write(without_the_gone(fleet._replace(zones=zones, tasks=tasks))).encode()
+
     def names(self) -> Names:
         zones = {name: z for z, name in enumerate(self.terms.zone_names)}
         methods = {name: k for k, name in enumerate(self.terms.method_names)}
--- a/hollyridge/settings/ini.py
+++ b/hollyridge/settings/ini.py
@@ -41,19 +41,25 @@
 
 def read_file(path: Path | str) -> configparser.ConfigParser:
     """Raises FaultsError for a file that can't be read as INI."""
-    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",), strict=True,
-                                       default_section="\0")
     try:
         raw = Path(path).read_bytes()
-        if len(raw) > MOST_BYTES:
-            raise FaultsError([f"{path}: {len(raw)} bytes, {MOST_BYTES} at most"])
-        parser.read_string(raw.decode("utf-8"), source=str(path))
     except OSError as trouble:
         raise FaultsError([f"{path}: {trouble.strerror}"]) from None
+    return read_bytes(raw, str(path))
+
+
+def read_bytes(raw: bytes, source: str) -> configparser.ConfigParser:
+    """Raises FaultsError for what is no INI."""
+    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",), strict=True,
+                                       default_section="\0")
+    if len(raw) > MOST_BYTES:
+        raise FaultsError([f"{source}: {len(raw)} bytes, {MOST_BYTES} at most"])
+    try:
+        parser.read_string(raw.decode("utf-8"), source=source)
     except UnicodeDecodeError:
-        raise FaultsError([f"{path}: not UTF-8 text"]) from None
+        raise FaultsError([f"{source}: not UTF-8 text"]) from None
     except configparser.Error as trouble:
-        raise FaultsError([f"{path}: {' '.join(str(trouble).split())}"]) from None
+        raise FaultsError([f"{source}: {' '.join(str(trouble).split())}"]) from None
     return parser
 
 
--- a/hollyridge/settings/solve.py
+++ b/hollyridge/settings/solve.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import math
+from configparser import ConfigParser
 from pathlib import Path
 from typing import Annotated, Literal
 
 from pydantic import Field, NonNegativeFloat, PositiveFloat, PositiveInt
 
-from hollyridge.settings.ini import SEVERAL, FaultsError, Section, check, read_file
+from hollyridge.settings.ini import SEVERAL, FaultsError, Section, check, read_bytes, read_file
 from hollyridge.solving.fleet import Fleet, Method, Task, Zone
 
 
@@ -50,9 +51,44 @@
 MODELS = {"method": MethodSection, "zone": ZoneSection, "tasks": TasksSection}
 
 
+def write(fleet: Fleet) -> str:
+    """A fleet as `load` reads it, a section for each task.
+
+    >>> one = Fleet((Method("read", 3.0),), (Zone("khalda", 2, (9.0,)),), (Task("127.1.0.1:80", 0, 30.0),), ({0: 1.0},))
+    >>> read_text(write(one).encode(), "here")[0] == one._replace(tasks=(Task("127.1.0.1-80-1", 0, 30.0),))
+    True
+    """
+    names = [task.name.replace(":", "-").lower() for task in fleet.tasks]
+    sections = [("solve", {"crossing": fleet.crossing, "handshake": fleet.handshake, "settle_s": fleet.settle_s,
+                           "busy": fleet.busy, "least_lines": fleet.least_lines, "most_lines": fleet.most_lines,
+                           "pick": fleet.pick})]
+    sections += [(f"method {m.name}", {"criticality": m.criticality, "work": m.work}) for m in fleet.methods]
+    sections += [(f"zone {z.name}", {"proxies": z.proxies, "demand": ", ".join(map(str, z.demand)), "out": z.out})
+                 for z in fleet.zones]
+    for name, task in zip(names, fleet.tasks):
+        sections.append((f"tasks {name}", {
+            "zone": fleet.zones[task.zone].name, "rate": task.rate, "doubt": task.doubt, "part": task.part,
+            "connections": 0 if math.isinf(task.connections) else int(task.connections),
+            "open": "yes" if task.open else "no"}))
+    for zone, table in zip(fleet.zones, fleet.held):
+        if table:
+            sections.append((f"held {zone.name}", {names[i]: weight for i, weight in table.items()}))
+    return "\n".join(f"[{name}]\n" + "".join(f"{key} = {value}\n" for key, value in rows.items())
+                     for name, rows in sections)
+
+
 def load(path: Path | str) -> tuple[Fleet, float, dict[str, range]]:
     """The fleet, the deadline (s), and the tasks of each group. Raises FaultsError with all that is wrong."""
-    parser, faults = read_file(path), []
+    return fleet_in(read_file(path))
+
+
+def read_text(raw: bytes, source: str) -> tuple[Fleet, float, dict[str, range]]:
+    """The same of text that came from elsewhere."""
+    return fleet_in(read_bytes(raw, source))
+
+
+def fleet_in(parser: ConfigParser) -> tuple[Fleet, float, dict[str, range]]:
+    faults: list[str] = []
     found: dict[str, dict] = {"method": {}, "zone": {}, "tasks": {}, "held": {}}
     solve = check("solve", SolveSection, dict(parser["solve"]) if parser.has_section("solve") else {}, faults)
     for name in parser.sections():
--- a/hollyridge/solving/feed.py
+++ b/hollyridge/solving/feed.py
@@ -42,6 +42,14 @@
                  pick=pick, least_lines=max(2, 2 * boot.initial_set))
 
 
+def without_the_gone(fleet: Fleet) -> Fleet:
+    """Only the tasks that are open or still in a table, numbered anew."""
+    kept = [i for i, task in enumerate(fleet.tasks) if task.open or any(i in table for table in fleet.held)]
+    number = {i: at for at, i in enumerate(kept)}
+    held = tuple({number[i]: weight for i, weight in table.items()} for table in fleet.held)
+    return fleet._replace(tasks=tuple(fleet.tasks[i] for i in kept), held=held)
+
+
 def stated_part(boot: api.Bootstrap, now: int, started: int) -> float:
     """Of what it can do when warm, by the stated floor and time."""
     if started <= 0 or now - started >= boot.warm_up:
--- a/hollyridge/solving/program.py
+++ b/hollyridge/solving/program.py
@@ -22,15 +22,29 @@
 
 from hollyridge.solving.fleet import Fleet
 
-# Up to which part of the filling that is allowed, and what one more unit of work costs there.
-SEGMENTS = ((0.4, 1.0), (0.3, 1.6), (0.15, 3.5), (0.1, 10.0), (0.05, 40.0))
+PIECES = 14  # of the cost of filling a class: with few, whole classes stand at the ends of pieces, unevenly full
 LEAST_PART = 0.03  # of what a zone sends to a class, spread over all lines that it holds
 LIKE = 1.1  # tasks that may get so many times as much are no longer alike
 TOUCH = 1e-6  # what was found is held to within so much, for the solver's own tolerance
-WIDE = 2.0  # so many times the lines that its work would fill
 OK = highspy.HighsModelStatus.kOptimal
 
 
+@cache
+def segments(busy: float) -> tuple[tuple[float, float], ...]:
+    """Parts of the filling that is allowed, and what one more unit of work costs in each, itself and the others that
+    wait for it: d/dp of p + p^2 / (1 - p) (Pollaczek and Khinchine), with p = `busy` x part, 0.95 at most.
+
+    >>> first, *_, last = segments(0.85)
+    >>> round(first[1], 2), round(last[1])
+    (1.06, 31)
+    """
+    found = []
+    for k in range(PIECES):
+        p = min(0.95, busy * (k + 0.5) / PIECES)
+        found.append((1 / PIECES, 1 + (2 * p - p * p) / (1 - p) ** 2))
+    return tuple(found)
+
+
 @cache
 def library() -> highspy.Highs:
     """The one solver of this process: each new one greets on standard output. One plan at a time."""
@@ -162,7 +176,7 @@
     """The program of a fleet: flows by zone and class, parts let in, connections opened, how full classes are."""
 
     def __init__(self, fleet: Fleet, deadline_s: float, dropped: frozenset[tuple[int, int]] = frozenset()) -> None:
-        self.fleet, self.groups = fleet, classes(fleet, dropped)
+        self.fleet, self.groups, self.slopes = fleet, classes(fleet, dropped), segments(fleet.busy)
         lp = self.lp = Lp(deadline_s)
         zones, groups = range(len(fleet.zones)), self.groups
         # All work is counted in parts of this.
@@ -176,7 +190,8 @@
                         shakes = fleet.zones[z].proxies * len(group.tasks) * fleet.handshake / fleet.settle_s
                         self.opens[z, g] = lp.column(), shakes / self.whole
         self.parts = [[lp.column(0.0, 0.0, 1.0) for _ in fleet.methods] for _ in zones]
-        self.fills = [[lp.column(0.0, 0.0, part * group.room / self.whole) for part, _ in SEGMENTS] for group in groups]
+        self.fills = [[lp.column(0.0, 0.0, part * group.room / self.whole) for part, _ in self.slopes]
+                      for group in groups]
         for z, zone in enumerate(fleet.zones):
             work = [(self.parts[z][k], -zone.demand[k] * method.work / self.whole)
                     for k, method in enumerate(fleet.methods)]
@@ -218,7 +233,7 @@
         """Where what is served goes at the least cost."""
         costs = {column: self.fleet.crossing * (self.groups[g].zone != z) for (z, g), column in self.flows.items()}
         costs.update((column, shakes) for column, shakes in self.opens.values())
-        costs.update((fill, slope) for fills in self.fills for fill, (_, slope) in zip(fills, SEGMENTS))
+        costs.update((fill, slope) for fills in self.fills for fill, (_, slope) in zip(fills, self.slopes))
         self.lp.price(costs)
         return self.lp.solve()
 
@@ -229,17 +244,18 @@
 
 
 def deal(fleet: Fleet, group: Class, amounts: dict[int, float], shakes: dict[int, float],
-         work: list[dict[int, float]]) -> None:
-    """What zones send to a class, onto its tasks. A zone that does not hold them opens twice as many lines as its work
-    would fill, for bursts and for rates that are wrong, as far as handshakes leave room for it, on the tasks that have
-    least so far. One that holds them goes on with all and evens out what the others send."""
+         work: list[dict[int, float]], load: dict[int, float]) -> None:
+    """What zones that do not hold a class send there, onto its tasks. They open as many lines as their work would
+    fill, and for bursts and rates that are wrong the more the less is left of the class (twice as many at half, all
+    when it is full), as far as handshakes leave room for it, on the tasks that have least so far."""
     count = len(group.tasks)
     need = {z: min(1.0, amount / group.room) for z, amount in amounts.items() if z in shakes}
-    wish = {z: min(1.0, WIDE * part) for z, part in need.items()}
+    full = min(0.99, sum(amounts.values()) / group.room)
+    wish = {z: min(1.0, part / (1 - full)) for z, part in need.items()}
     spare = group.room - sum(amounts.values()) - sum(need[z] * shakes[z] for z in need)
     extra = sum((wish[z] - need[z]) * shakes[z] for z in need)
     part = max(0.0, min(1.0, spare / extra)) if extra > 0 else 1.0
-    load, rooms = dict.fromkeys(group.tasks, 0.0), dict(zip(group.tasks, group.rooms))
+    rooms = dict(zip(group.tasks, group.rooms))
     for z in need:
         many = math.ceil(count * (need[z] + part * (wish[z] - need[z])) - 1e-9)
         many = min(count, max(1, many, fleet.least_lines - len(work[z])))
@@ -250,11 +266,20 @@
         for i in lines:
             work[z][i] = amounts[z] * rooms[i] / whole
             load[i] += work[z][i]
-    for z in amounts:
-        if z not in need:
-            for i, more in poured(load, rooms, amounts[z]).items():
-                work[z][i] = more
-                load[i] += more
+
+
+def spread(groups: Sequence[Class], held: dict[int, dict[Class, float]], work: list[dict[int, float]],
+           load: dict[int, float]) -> None:
+    """What zones send to lines that they hold, class by class, over all of these in one zone of tasks alike, by what
+    each has left. The program's own split between classes of one zone is arbitrary where they are equally full; if
+    each zone of proxies kept to its own few tasks there, what comes unevenly within a second would overfill these."""
+    left = {i: max(room - load[i], 0.1 * room) for group in groups for i, room in zip(group.tasks, group.rooms)}
+    for z, amounts in held.items():
+        lines = [i for group in amounts for i in group.tasks]
+        amount, whole = sum(amounts.values()), sum(left[i] for i in lines)
+        for i in lines if amount > 0 else ():
+            work[z][i] = amount * left[i] / whole
+            load[i] += work[z][i]
 
 
 def poured(load: dict[int, float], rooms: dict[int, float], amount: float) -> dict[int, float]:
@@ -280,10 +305,17 @@
     model = Model(fleet, deadline_s, dropped)
     parts, values, zones = model.serve(), model.place(), range(len(fleet.zones))
     work: list[dict[int, float]] = [{} for _ in zones]
-    for g, group in enumerate(model.groups):
-        amounts = {z: float(values[model.flows[z, g]]) * model.whole for z in zones if (z, g) in model.flows}
-        shakes = {z: model.opens[z, g][1] * model.whole for z in amounts if (z, g) in model.opens}
-        deal(fleet, group, {z: a for z, a in amounts.items() if a > 1e-6 * model.whole}, shakes, work)
+    load = {i: 0.0 for group in model.groups for i in group.tasks}
+    amounts = {pair: float(values[column]) * model.whole for pair, column in model.flows.items()}
+    for there in zones:
+        groups = [g for g, group in enumerate(model.groups) if group.zone == there]
+        for g in groups:
+            shakes = {z: model.opens[z, g][1] * model.whole for z in zones if (z, g) in model.opens}
+            deal(fleet, model.groups[g], {z: amounts[z, g] for z in zones if amounts.get((z, g), 0.0) > 1e-6 *
+                                          model.whole}, shakes, work, load)
+        held = {z: {model.groups[g]: amounts[z, g] for g in groups if (z, g) in amounts and (z, g) not in model.opens}
+                for z in zones}
+        spread([model.groups[g] for g in groups], held, work, load)
     full = tuple(group for g, group in enumerate(model.groups)
                  if sum(values[fill] for fill in model.fills[g]) * model.whole > 0.999 * group.room)
     return Answer(tuple(map(tuple, parts)), tuple(work), full)
--- a/hollyridge/solving/solver.py
+++ b/hollyridge/solving/solver.py
@@ -115,7 +115,7 @@
                for z, table in enumerate(shares) for i, share in table.items() if fleet.tasks[i].zone != z)
     for i, amount in loads(shares, work).items():
         left, room = amount, program.room_of(fleet, i)
-        for part, slope in program.SEGMENTS:
+        for part, slope in program.segments(fleet.busy):
             here = min(left, part * room)
             cost += slope * here / whole
             left -= here
