--- a/hollyridge/cli/lab.py
+++ b/hollyridge/cli/lab.py
@@ -195,6 +195,24 @@
     sys.exit(1 if told["doubly_ordered"] or told["rules_broken"] else 0)
 
 
+@lab.command()
+@click.option("--reports-per-s", default=10_000.0, show_default=True, help="Data points, of all senders.")
+@click.option("--seconds", default=20.0, show_default=True)
+@click.option("--budget", default=1000.0, show_default=True, help="Points a second that the assigner reads.")
+@click.option("--tasks", default=30, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def flood(reports_per_s: float, seconds: float, budget: float, tasks: int, as_json: bool) -> None:
+    """Flood a real assigner with load reports, half of them by one sender that does not listen, beside another that
+    reads them all: what is kept, what it costs, how far their weights are apart."""
+    from hollyridge.lab import flood as flooding
+    try:
+        told = flooding.flood(reports_per_s, seconds, budget, tasks=tasks)
+    except OSError as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(2)
+    click.echo(msgspec.json.encode(told) if as_json else "\n".join(f"{k}: {v}" for k, v in told.items()))
+
+
 @lab.command()
 @click.argument("source", type=click.Path(exists=True))
 @click.option("--out", default="report", show_default=True, type=click.Path(file_okay=False))
--- a/hollyridge/core/loop.py
+++ b/hollyridge/core/loop.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from hdrh.histogram import HdrHistogram
 
 from hollyridge.core.machine import Machine
 
@@ -27,6 +28,7 @@
     def __init__(self, machine: Machine, clock=monotonic_us) -> None:
         self.machine, self.clock = machine, clock
         self.news = Event()
+        self.turns = HdrHistogram(1, 60_000_000, 3)  # us that each run of the machine took
         self.stopping = False
 
     def nudge(self) -> None:
@@ -36,7 +38,9 @@
         """Blocks. Raises what the machine raises when it gives up."""
         while not self.stopping:
             self.news.clear()
+            begun = time.perf_counter_ns()
             due = self.machine.run(self.clock())
+            self.turns.record_value(max(1, (time.perf_counter_ns() - begun) // 1000))
             self.news.wait(max(self.LEAST, (due - self.clock()) / 1e6))
             gevent.sleep(self.LEAST)
 
--- a/hollyridge/lab/hunt.py
+++ b/hollyridge/lab/hunt.py
@@ -28,18 +28,24 @@
 }
 
 
-def draw(rng: Random, length: float, most: int) -> dict[str, TroubleSection]:
-    """Some troubles that begin in the first three quarters of the day."""
+def drawn(rng: Random, kinds: list[str], ranges: dict[str, tuple], first: float,
+          last: float) -> dict[str, TroubleSection]:
+    """Troubles of these kinds that begin between two moments (s), their figures drawn from the ranges."""
     troubles = {}
-    for at, kind in enumerate(rng.sample(sorted(RANGES), rng.randint(1, most))):
-        spans, parts, sizes, extras = RANGES[kind]
+    for at, kind in enumerate(kinds):
+        spans, parts, sizes, extras = ranges[kind]
         troubles[f"{kind}-{at}"] = TroubleSection(
-            kind=kind, at_s=round(rng.uniform(1, 0.75 * length), 2), for_s=round(rng.uniform(*spans), 2),
+            kind=kind, at_s=round(rng.uniform(first, last), 2), for_s=round(rng.uniform(*spans), 2),
             part=round(rng.uniform(*parts), 3), size=round(rng.uniform(*sizes), 3),
             extra=round(rng.uniform(*extras), 3), how=rng.choice(KINDS[kind] or ("",)))
     return troubles
 
 
+def draw(rng: Random, length: float, most: int) -> dict[str, TroubleSection]:
+    """Some troubles that begin in the first three quarters of the day."""
+    return drawn(rng, rng.sample(sorted(RANGES), rng.randint(1, most)), RANGES, 1, 0.75 * length)
+
+
 def with_troubles(script: Script, troubles: dict[str, TroubleSection]) -> Script:
     return Script(script.path, script.day, script.fleet, script.load, script.net, troubles, script.overrides,
                   script.terms)
--- a/hollyridge/lab/takeover.py
+++ b/hollyridge/lab/takeover.py
@@ -14,9 +14,9 @@
 from hollyridge.lab import script as scripts
 from hollyridge.lab.checker import Evidence
 from hollyridge.lab.day import Day
-from hollyridge.lab.hunt import with_troubles
+from hollyridge.lab.hunt import drawn, with_troubles
 from hollyridge.lab.ownership import Gap, believed, doubles, gaps, moves
-from hollyridge.lab.script import KINDS, TroubleSection
+from hollyridge.lab.script import TroubleSection
 from hollyridge.lab.virtual import VirtualStage
 
 RANGES = {
@@ -53,14 +53,7 @@
     if first == "peers_cut":
         others -= {"assigner_killed", "assigner_stalled"}
     kinds = [first, *rng.sample(sorted(others), rng.randint(0, 2))]
-    troubles = {}
-    for at, kind in enumerate(kinds):
-        spans, parts, sizes, extras = RANGES[kind]
-        troubles[f"{kind}-{at}"] = TroubleSection(
-            kind=kind, at_s=round(rng.uniform(4, 0.5 * length), 2), for_s=round(rng.uniform(*spans), 2),
-            part=round(rng.uniform(*parts), 3), size=round(rng.uniform(*sizes), 3),
-            extra=round(rng.uniform(*extras), 3), how=rng.choice(KINDS[kind] or ("",)))
-    return troubles
+    return drawn(rng, kinds, RANGES, 4, 0.5 * length)
 
 
 def play(path: str, seed: int, front: str, shared: bool = True, assigners: int = 0, times: float = 1.0,
--- a/hollyridge/otlp/intake.py
+++ b/hollyridge/otlp/intake.py
@@ -25,7 +25,7 @@
 from hollyridge.keys.tls import bearer_of
 from hollyridge.otlp.reading import Names, Running, read
 from hollyridge.steering.access import Access
-from hollyridge.steering.doorkeeper import Bucket
+from hollyridge.trust.fair import Fair
 
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 411: "Length Required", 413: "Content Too Large", 415: "Unsupported Media Type",
@@ -45,11 +45,11 @@
 
 
 class BadError(Exception):
-    """A request that is turned down, with its HTTP status."""
+    """A request that is turned down, with its HTTP status; `wait` microseconds before it may come again."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, wait: int = 0) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.wait = status, wait
 
 
 def inflate(raw: bytes, most: int) -> bytes:
@@ -110,7 +110,7 @@
         self.access, self.deeds = access, deeds or {}
         self.loop, self.terms, self.names, self.pages, self.log = loop, terms, names, pages, log
         self.running = Running(loop.machine.limits.most_series)
-        self.pace = Bucket(terms.points_per_s, 2 * terms.points_per_s)
+        self.fair = Fair(terms.points_per_s, 1_000_000, terms.connections_most)
         self.counts = dict.fromkeys(("requests", "points", "rejected", "bad", "slowed"), 0)
         self.why: dict[str, int] = {}
         kind = WSGIServer if secure is None else secured(secure)
@@ -150,7 +150,7 @@
             status, kind = trouble.status, kind if as_json else "application/x-protobuf"
             self.counts["slowed" if status == 429 else "bad"] += 1
             if status == 429:
-                extra = [("Retry-After", "1")]
+                extra = [("Retry-After", str(max(1, -(-trouble.wait // 1_000_000))))]
             answer = Status(code=8 if status == 429 else 3, message=str(trouble))
             body = json_format.MessageToJson(answer).encode() if as_json else answer.SerializeToString()
             self.log.warning("report refused", peer=environ.get("REMOTE_ADDR"), status=status, why=str(trouble))
@@ -192,16 +192,16 @@
         packing = environ.get("HTTP_CONTENT_ENCODING", "identity")
         if packing not in ("identity", "gzip"):
             raise BadError(415, "gzip is the only content encoding spoken")
-        if self.pace.left < 0:
-            self.pace.draw(self.loop.clock(), 0)
-            if self.pace.left < 0:
-                raise BadError(429, "more points a second than are read; come again")
+        sender = environ.get(BEARER, "") or environ.get("REMOTE_ADDR", "?")
+        wait = self.fair.wait(self.loop.clock(), sender)
+        if wait:
+            raise BadError(429, "more points a second than are read of one sender now; come again", wait)
         raw, most = self.body(environ), 8 * self.terms.body_most
         if len(raw) >= THREADED:  # unpacking is one long call: it would hold up all streams
             request = gevent.get_hub().threadpool.apply(parse, (raw, packing == "gzip", as_json, most))
         else:
             request = parse(raw, packing == "gzip", as_json, most)
-        return self.count(request, environ.get("REMOTE_ADDR", "?"), environ.get(BEARER, ""), as_json)
+        return self.count(request, environ.get("REMOTE_ADDR", "?"), environ.get(BEARER, ""), as_json, sender)
 
     def names_for(self, bearer: str) -> Names:
         """Lookups as this sender may use them."""
@@ -212,7 +212,8 @@
             zone=lambda name: -1 if self.access.may_report(bearer, name) else zone(name),
             proxy=lambda name: -1 if self.access.may_be(bearer, name) else proxy(name))
 
-    def count(self, request: ExportMetricsServiceRequest, peer: str, bearer: str, as_json: bool) -> bytes:
+    def count(self, request: ExportMetricsServiceRequest, peer: str, bearer: str, as_json: bool,
+              sender: str) -> bytes:
         now, rejected, total = self.loop.clock(), {}, 0
         for point in read(request, peer, self.names_for(bearer), self.running):
             total += 1
@@ -223,8 +224,7 @@
                 self.why[why] = self.why.get(why, 0) + 1
             if total % 500 == 0:
                 gevent.sleep(0)
-        self.pace.draw(now, 0)
-        self.pace.left -= total
+        self.fair.spent(now, sender, total)
         self.counts["requests"] += 1
         self.counts["points"] += total
         self.counts["rejected"] += sum(rejected.values())
@@ -235,4 +235,4 @@
         return json_format.MessageToJson(answer).encode() if as_json else answer.SerializeToString()
 
     def status(self) -> dict:
-        return {**self.counts, "why": self.why}
+        return {**self.counts, "why": self.why, "senders": len(self.fair.senders), **self.fair.counts}
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -183,7 +183,11 @@
         solver = {"solver": self.solving.status()} if self.solving is not None else {}
         peers = {"peers": self.fleet.status()} if self.fleet is not None else {}
         kept = {"kept": self.keeping.status()} if self.keeping is not None else {}
-        return {"core": self.machine.status(), **fronts, "otlp": self.intake.status(), **solver, **peers, **kept}
+        turns = self.loop.turns
+        core = {**self.machine.status(), "turn_us": {"p50": turns.get_value_at_percentile(50),
+                                                     "p99": turns.get_value_at_percentile(99),
+                                                     "max": turns.get_max_value()}}
+        return {"core": core, **fronts, "otlp": self.intake.status(), **solver, **peers, **kept}
 
     def tell_status(self) -> None:
         while True:
