One way to unbind a SASP stream's proxy, one set of names for a service

Need: a last reading found the same three lines in four places of the SASP front, names looked up with three caches, and a bound method that nothing calls.

Change: SaspFront.unbind; Service makes its names once; Swim keeps no choice. Behaviour as before.

Measured: tests of SASP, kept state, membership and shared fleets pass; no test changed.

--- a/hollyridge/membership/swim.py
+++ b/hollyridge/membership/swim.py
@@ -97,7 +97,7 @@
 
     def __init__(self, name: str, facts: Facts, pace: Pace, rng: Random, seeds: tuple[str, ...] = ()) -> None:
         self.name, self.facts, self.pace, self.seeds = name, facts, pace, list(seeds)
-        self.shuffle, self.sample, self.choice = rng.shuffle, rng.sample, rng.choice
+        self.shuffle, self.sample = rng.shuffle, rng.sample
         self.incarnation, self.left = 0, False
         self.members: dict[str, Member] = {}
         self.my_word_told = 0
--- a/hollyridge/sasp/front.py
+++ b/hollyridge/sasp/front.py
@@ -330,10 +330,7 @@
         if came.close >= 0 and came.close in self.streams:
             older = self.streams[came.close]
             self.close(older, "its name came again on a newer stream")
-            if older.proxy >= 0:
-                self.by_proxy.pop(older.proxy, None)
-                self.machine.leave(now, older.proxy)
-                older.proxy = -1
+            self.unbind(now, older)
         if came.joined:
             zone = self.zone_of(stream.address[0])
             proxy = -1 if zone < 0 else self.machine.join(now, self, stream.uid, zone, self.terms.usual_rate)
@@ -361,11 +358,15 @@
 
     def let_go(self, stream: Stream, why: str) -> None:
         """Who orders its proxy has been decided already."""
+        self.unbind(self.clock(), stream)
+        self.close(stream, why)
+
+    def unbind(self, now: int, stream: Stream) -> None:
+        """Its proxy, if it has one, is ordered by this stream no more."""
         if stream.proxy >= 0:
             self.by_proxy.pop(stream.proxy, None)
-            self.machine.leave(self.clock(), stream.proxy)
+            self.machine.leave(now, stream.proxy)
             stream.proxy = -1
-        self.close(stream, why)
 
     def send_on(self, proxy: int, to: str, why: str) -> None:
         stream = self.by_proxy.get(proxy)
@@ -373,9 +374,7 @@
             return
         if to:  # it hangs up itself once it has read that; if not, its next question is not heard here
             self.say_where(stream, to)
-            self.by_proxy.pop(stream.proxy, None)
-            self.machine.leave(self.clock(), stream.proxy)
-            stream.proxy = -1
+            self.unbind(self.clock(), stream)
             self.presence.left(stream.number)
         else:
             self.let_go(stream, why)
@@ -484,9 +483,7 @@
                     del stream.sheets[group.name]
             if not stream.sheets and stream.proxy >= 0:
                 self.presence.left(stream.number)
-                self.by_proxy.pop(stream.proxy, None)
-                self.machine.leave(self.clock(), stream.proxy)
-                stream.proxy = -1
+                self.unbind(self.clock(), stream)
             if not any(some for _, some in message.groups):
                 return Code.OK
         for group, _ in message.groups:
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -45,13 +45,13 @@
         boot = terms.bootstrap()
         self.machine = Machine(boot, terms.assigner.seed, terms.limits(), clock(), log, make)
         self.loop = Loop(self.machine, clock)
-        sasp, channel = terms.sasp, terms.channel
+        sasp, channel, names = terms.sasp, terms.channel, self.names()
         self.fleet = self.link = None
         fleet = fleet or terms.fleet_terms()
         if fleet is not None:
             fronts = {"sasp": sasp.listen, "otlp": terms.otlp.listen, "clone": terms.clone.listen}
             self.fleet = Fleet(self.loop, fleet, log, fresh, {name: at for name, at in fronts.items() if at},
-                               self.task_name, self.names().task)
+                               self.task_name, names.task)
         zone_name = dict(enumerate(terms.zone_names)).get
         keeper = Doorkeeper(sasp.connections_most, sasp.connections_each, sasp.connects_per_s, sasp.requests_per_s,
                             channel.messages_most / channel.messages_over_s)
@@ -75,7 +75,7 @@
             self.solving = Solving(self.loop, terms.solver_terms(), log, gevent.get_hub().threadpool.apply)
         self.keeping = None
         if terms.keeping_terms() is not None:
-            self.keeping = Keeping(self.loop, terms.keeping_terms(), log, self.task_name, self.names().task,
+            self.keeping = Keeping(self.loop, terms.keeping_terms(), log, self.task_name, names.task,
                                    gevent.get_hub().threadpool.apply)
         pages = {"/status": ("application/json", lambda: msgspec.json.encode(self.status())),
                  "/fleet": ("text/plain; charset=utf-8", self.described)}
@@ -83,7 +83,7 @@
         if self.fleet is not None:
             pages["/peers"] = "application/json", lambda: msgspec.json.encode(self.fleet.status())
             deeds = {"/peers/drain": self.fleet.drain, "/peers/undrain": lambda: self.fleet.drain(False)}
-        self.intake = Intake(self.loop, terms.otlp_terms(), self.names(), pages, log, self.access, secure,
+        self.intake = Intake(self.loop, terms.otlp_terms(), names, pages, log, self.access, secure,
                              deeds)
 
     def task_name(self, task: int) -> str:
