The assigner speaks the platform's protocol: RESP2 front, HTTP roster, node start

Change: `resp/` (codec with limits from the first byte, words, what each proxy was told, front), `roster/` (list as typed words, versions and starts, when to dial, one watch over h11), `node/` (JSON configuration, signals, wiring). The machine is handed its source of tasks instead of building SASP's members; `benchlink/conf.py` reads settings as text or nested JSON and names every fault.

--- a/hollyridge/benchlink/conf.py
+++ b/hollyridge/benchlink/conf.py
@@ -1,4 +1,4 @@
-"""The settings text of the wire, read into a `Bootstrap`."""
+"""The settings, as text of the wire or nested as a configuration has them, read into a `Bootstrap`."""
 
 from __future__ import annotations
 
@@ -16,16 +16,17 @@
 
 
 class _Text:
-    """Path=value pairs; a missing or odd value is named in the error."""
+    """Path=value pairs; what is missing or odd is gathered in `faults`, each by its path."""
 
-    def __init__(self, text: bytes) -> None:
-        pairs = (line.partition("=") for line in text.decode("utf-8", "replace").splitlines())
-        self.values = {path.strip(): value.strip() for path, _, value in pairs}
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
+        self.faults: list[str] = []
 
     def word(self, path: str, default: str | None = None) -> str:
         value = self.values.get(path, default)
         if value is None:
-            raise WireError(f"the settings lack {path}")
+            self.faults.append(f"the settings lack {path}")
+            return ""
         return value
 
     def number(self, path: str, default: float | None = None) -> float:
@@ -35,7 +36,9 @@
         except ValueError:
             figure = float("nan")
         if not abs(figure) < 1e15:
-            raise WireError(f"the setting {path} is not a number: {value[:40]}")
+            if path in self.values:
+                self.faults.append(f"the setting {path} is not a number: {value[:40]}")
+            return 0.0
         return figure
 
     def span(self, path: str, default: float | None = None) -> int:
@@ -50,16 +53,57 @@
     def choice(self, path: str, words: dict, default: str | None = None):
         value = self.word(path, default)
         if value not in words:
-            raise WireError(f"the setting {path} has no meaning: {value[:40]}")
+            if path in self.values:
+                self.faults.append(f"the setting {path} has no meaning: {value[:40]}")
+            return next(iter(words.values()))
         return words[value]
 
 
+def pairs(raw: bytes) -> dict[str, str]:
+    """The settings text of the wire as values by path."""
+    rows = (line.partition("=") for line in raw.decode("utf-8", "replace").splitlines())
+    return {path.strip(): value.strip() for path, _, value in rows}
+
+
+def plain(value: object) -> str:
+    """One value as the settings text has it.
+
+    >>> plain(True), plain(2.5), plain("two words, or more")
+    ('true', '2.5', 'two_words__or_more')
+    """
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def flattened(tree: object, path: str = "") -> dict[str, str]:
+    """Nested settings as values by path, as the settings text has them.
+
+    >>> flattened({"a": {"b": [1, 2]}, "rows": [{"x": True}], "none": None})
+    {'a.b': '1,2', 'rows.count': '1', 'rows.0.x': 'true'}
+    """
+    if tree is None:
+        return {}
+    start = path + "." if path else ""
+    if isinstance(tree, dict):
+        return {p: v for key, value in tree.items() for p, v in flattened(value, f"{start}{key}").items()}
+    if isinstance(tree, list) and any(isinstance(row, (dict, list)) for row in tree):
+        rows = {p: v for k, row in enumerate(tree) for p, v in flattened(row, f"{start}{k}").items()}
+        return {start + "count": str(len(tree)), **rows}
+    return {path: ",".join(map(plain, tree)) if isinstance(tree, list) else plain(tree)}
+
+
 def read_bootstrap(raw: bytes) -> Bootstrap:
-    """What an assigner reads at start; unknown keys are skipped, a missing required one is named."""
-    text = _Text(raw)
+    """What an assigner reads at start, from the wire's settings text."""
+    return bootstrap_of(pairs(raw))
+
+
+def bootstrap_of(values: dict[str, str]) -> Bootstrap:
+    """From values by path; unknown keys are skipped. WireError names each that is missing or odd."""
+    text = _Text(values)
     own_zone = text.names("family_info.class_own_zone")
     methods = []
-    for k in range(int(text.number("profiles.count"))):
+    for k in range(max(0, min(int(text.number("profiles.count")), 256))):
         row = f"profiles.{k}."
         deadline = text.span(row + "deadline")
         methods.append(MethodTerms(
@@ -72,10 +116,10 @@
             own_zone=k < len(own_zone) and own_zone[k] == "true",
         ))
     if not methods:
-        raise WireError("the settings name no method (profiles.count)")
+        text.faults.append("the settings name no method (profiles.count)")
     family = "family_info."
     transit = text.number(family + "transit", 0.0)
-    return Bootstrap(
+    boot = Bootstrap(
         methods=tuple(methods),
         zones=len(text.names("zones")) or 1,
         assigners=max(1, int(text.number("balancers", 1))),
@@ -107,3 +151,6 @@
         load_names=tuple(text.names("report.names")),
         cross_zone_price=text.number("tariffs.cross_zone", 0.0),
     )
+    if text.faults:
+        raise WireError("; ".join(text.faults))
+    return boot
--- a/hollyridge/core/loop.py
+++ b/hollyridge/core/loop.py
@@ -25,8 +25,8 @@
     spawn, sleep = staticmethod(gevent.spawn), staticmethod(gevent.sleep)
     LEAST = 0.0005  # s between two runs, so that what comes together is decided together
 
-    def __init__(self, machine: Machine, clock=monotonic_us) -> None:
-        self.machine, self.clock = machine, clock
+    def __init__(self, machine: Machine, clock=monotonic_us, least: float = LEAST) -> None:
+        self.machine, self.clock, self.least = machine, clock, least
         self.news = Event()
         self.turns = HdrHistogram(1, 60_000_000, 3)  # us that each run of the machine took
         self.stopping = False
@@ -41,8 +41,8 @@
             begun = time.perf_counter_ns()
             due = self.machine.run(self.clock())
             self.turns.record_value(max(1, (time.perf_counter_ns() - begun) // 1000))
-            self.news.wait(max(self.LEAST, (due - self.clock()) / 1e6))
-            gevent.sleep(self.LEAST)
+            self.news.wait(max(self.least, (due - self.clock()) / 1e6))
+            gevent.sleep(self.least)
 
     def stop(self) -> None:
         self.stopping = True
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -11,7 +11,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable, Hashable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from hdrh.histogram import HdrHistogram
 
@@ -39,7 +39,26 @@
     most_rate: float
     news_lines: int
     events_most: int
-    members: members.Terms
+    members: members.Terms | None = None  # None: the list comes from elsewhere
+
+
+class Source(Protocol):
+    """Where the list of tasks comes from. It is `settled` once there is a first list to hand on."""
+
+    settled: bool
+    rows: dict
+
+    def take(self, now: int, what: object) -> members.Outcome:
+        """Something about the list, `members.AskedAgain` and `members.Tick` included; what follows."""
+
+    def whole(self, kind: api.ListKind) -> api.RosterChange:
+        """All of it, as it stands."""
+
+    def next_at(self, now: int) -> int | None:
+        """When a `Tick` is due next."""
+
+    def figures(self) -> dict[str, int]:
+        """Counts for the status."""
 
 
 class ModuleError(Exception):
@@ -53,16 +72,18 @@
 
 
 class Machine:
-    """`make(bootstrap, seed)` builds the decision module: `rules.Assigner`, or a baseline of the laboratory."""
+    """`make(bootstrap, seed)` builds the decision module: `rules.Assigner`, or a baseline of the laboratory. `source`:
+    where the list of tasks comes from, if not from SASP's registrations. `detail`: a log line for each decision."""
 
     def __init__(self, boot: api.Bootstrap, seed: int, limits: Limits, now: int, log,
-                 make: Callable = Assigner) -> None:
+                 make: Callable = Assigner, source: Source | None = None, detail: bool = True) -> None:
         self.boot, self.seed, self.limits, self.log, self.make = boot, seed, limits, log, make
         self.module = make(boot, seed)
         self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks,
                           lambda task: self.desk.names(task))
         self.proxies = Door(boot.drain_grace * 2, min(limits.most_proxies, 65535))
-        self.members = members.Members(limits.members, now)
+        self.members: Source = source or members.Members(limits.members, now)
+        self.detail = detail
         self.news = News(limits.most_series, limits.most_series_each, limits.most_rate, limits.news_lines,
                          60 * boot.period)
         self.desk = Desk(len(boot.methods), Store(HISTORY))
@@ -93,19 +114,21 @@
             return
         self.inbox.append((now, event))
 
-    def join(self, now: int, front: Front, name: Hashable, zone: int, rate: float) -> int | None:
-        """A proxy's stream stands; its index, or None where no more are taken."""
+    def join(self, now: int, front: Front, name: Hashable, zone: int, rate: float,
+             standing_only: bool = False) -> int | None:
+        """A proxy's stream stands; its index, or None where no more are taken. `standing_only`: it holds no table that
+        was ever ordered."""
         proxy = self.proxies.enter(now, name)
         if proxy is None:
             return None
         older = self.fronts.get(proxy)
-        if older is not None:  # it came by another front: it must not be ordered by two
-            older.detach(proxy, "its name came again by another front")
+        if older is not None:  # by another front or a newer stream: it must not be ordered by two
+            older.detach(proxy, "its name came again")
             self.leave(now, proxy)
             proxy = self.proxies.enter(now, name)
         self.fronts[proxy], self.places[proxy] = front, (name, zone, rate)
         self.counts["joins"] += 1
-        self.tell(now, api.Joined(rate, False, proxy, zone))
+        self.tell(now, api.Joined(rate, standing_only, proxy, zone))
         return proxy
 
     def leave(self, now: int, proxy: int) -> None:
@@ -127,8 +150,8 @@
             self.heard[point.place[1]] = now
         return why
 
-    def happened(self, now: int, what: members.Happening) -> members.Refusal | None:
-        """Something about members; why it was turned down, or None."""
+    def happened(self, now: int, what: object) -> members.Refusal | None:
+        """Something about the list; why it was turned down, or None."""
         outcome = self.members.take(now, what)
         for key in outcome.left:
             self.tasks.leave(now, key)
@@ -235,10 +258,12 @@
 
     def say(self, now: int, orders: list[api.Order], parcels: list, refused: dict[str, int]) -> None:
         """One log line a decision: which tables and tasks, and which part of the module moved them."""
+        self.counts["puts"] += sum(type(order) is api.PutLine for order in orders)
+        if not self.detail:
+            return
         causes: dict[str, list] = {}
         for order in orders:
             if type(order) is api.PutLine:
-                self.counts["puts"] += 1
                 causes.setdefault(self.cause(now, order), []).append(
                     (order.table, order.task, round(order.weight, 4)))
             elif type(order) is api.Attach:
@@ -283,7 +308,6 @@
                 "waiting": round(self.channel.waiting), "waiting_most": self.channel.highest,
                 "merged": self.channel.merged, "over_limit": self.channel.over, "lost_lines": self.channel.lost_lines,
                 "proxies": len(self.fronts), "tasks": len(self.members.rows),
-                "restarts": self.members.restarts, "returns": self.members.returns,
-                "lapsed": self.members.lapsed, "turned_down": self.news.turned_down,
+                **self.members.figures(), "turned_down": self.news.turned_down,
                 "news_to_frame_us": {"p50": took.get_value_at_percentile(50),
                                      "p99": took.get_value_at_percentile(99), "max": took.get_max_value()}}
--- /dev/null
+++ b/hollyridge/node/__init__.py
@@ -0,0 +1,1 @@
+"""The real assigner on the platform: start, configuration, signals; wiring only."""
--- /dev/null
+++ b/hollyridge/node/__main__.py
@@ -0,0 +1,59 @@
+"""`python -m hollyridge.node`: the assigner as the platform starts it."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the start is over must not end it
+
+import gc  # noqa: E402
+import os  # noqa: E402
+
+import gevent  # noqa: E402
+
+from hollyridge.cli import logs  # noqa: E402
+from hollyridge.core.machine import ModuleError  # noqa: E402
+from hollyridge.node.program import Program  # noqa: E402
+from hollyridge.node.terms import NodeError, read_file  # noqa: E402
+
+
+def main() -> int:
+    """Exit code 0 after SIGTERM, 2 for a configuration that can't be used, 3 for an address that is taken, 4 when the
+    decision module fails on and on."""
+    path = os.environ.get("BALANCER_CONFIG", "")
+    log = logs.start("json", "info")
+    try:
+        if not path:
+            raise NodeError("BALANCER_CONFIG names no configuration file")
+        terms = read_file(path)
+    except NodeError as trouble:
+        for fault in str(trouble).splitlines():
+            print(f"hollyridge: {fault}", file=sys.stderr)
+        return 2
+    program = Program(terms, log.bind(name=terms.name), lambda: read_file(path))
+    gevent.signal_handler(signal.SIGTERM, program.stop)
+    gevent.signal_handler(signal.SIGINT, program.stop)
+    gevent.signal_handler(signal.SIGHUP, program.reload)
+    try:
+        program.start()
+    except OSError as trouble:
+        print(f"hollyridge: cannot listen on {terms.listen[0]}:{terms.listen[1]}: {trouble}", file=sys.stderr)
+        return 3
+    gc.collect()
+    gc.freeze()
+    program.log.info("serves", listen=f"{terms.listen[0]}:{terms.listen[1]}", cores=terms.limits.cores,
+                     memory_mb=terms.limits.memory_mb, sockets=terms.limits.sockets)
+    try:
+        program.run()
+    except ModuleError as trouble:
+        program.log.error("gives up", why=str(trouble))
+        return 4
+    return 0
+
+
+if __name__ == "__main__":
+    code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)  # at once: the streams end with the process, nothing is left to be saved
--- /dev/null
+++ b/hollyridge/node/program.py
@@ -0,0 +1,94 @@
+"""A whole assigner of the platform from its terms: machine, loop, front, roster. Wiring only."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+
+import gevent
+
+from hollyridge.core.loop import Loop, monotonic_us
+from hollyridge.core.machine import Limits, Machine
+from hollyridge.node.terms import NodeError, NodeTerms
+from hollyridge.resp.front import RespFront, RespTerms
+from hollyridge.roster.caller import Caller
+from hollyridge.roster.listing import Heard, Listing
+from hollyridge.roster.watch import Watch
+
+KEPT = 24  # descriptors for what is not a connection of the front: logs, the hub, discovery, the listener
+TASKS_MOST = 20_000
+EVENTS_MOST = 20_000  # waiting for the module, past which reports give way
+BEAT = 2_000_000  # us: discovery writes an empty line as often as that
+PATIENCE = 2_000_000  # us to join: a second is the peer's by right, a close is due within three
+STATUS_S = 5.0
+
+
+class Program:
+    """`read` reads the configuration again. `start` listens (OSError if the address is taken), `run` blocks until
+    `stop` and raises what the machine raises when it gives up."""
+
+    def __init__(self, terms: NodeTerms, log, read: Callable[[], NodeTerms], clock: Callable = monotonic_us) -> None:
+        self.terms, self.log, self.read = terms, log, read
+        boot = terms.boot
+        limits = Limits(boot.lines_per_s, boot.overhead, boot.most_waiting, TASKS_MOST, terms.names.proxies,
+                        0, 0, 0.0, 0, EVENTS_MOST)
+        now = clock()
+        listing = Listing(lambda name: self.machine.tasks.enter(self.machine.ran_at, name),
+                          now - time.time_ns() // 1000)
+        self.machine = Machine(boot, terms.seed, limits, now, log, source=listing, detail=False)
+        self.loop = Loop(self.machine, clock, terms.round_s)
+        self.machine.happened(now, Heard(terms.known, stale=True))
+        zones = {name: z for z, name in enumerate(terms.names.zones)}
+        self.watch = Watch(self.loop, listing, Caller(BEAT, Random(terms.seed ^ 1)), terms.discovery, zones, log)
+        self.front = RespFront(self.loop, RespTerms(*terms.listen, terms.limits.sockets, KEPT, PATIENCE, terms.names),
+                               boot, log)
+
+    def start(self) -> int:
+        port = self.front.start()
+        gevent.spawn(self.watch.run)
+        gevent.spawn(self.tell)
+        return port
+
+    def run(self) -> None:
+        self.loop.run()
+
+    def stop(self) -> None:
+        self.loop.stop()
+
+    def reload(self) -> None:
+        """Take a replaced configuration: the address of discovery at once; what needs a restart is named in the log.
+        A faulty one changes nothing."""
+        try:
+            terms = self.read()
+        except NodeError as trouble:
+            self.log.error("configuration not taken", faults=str(trouble).splitlines())
+            return
+        held = self.terms
+        waits = [name for name in ("name", "listen", "limits", "values") if getattr(terms, name) != getattr(held, name)]
+        if terms.discovery != held.discovery:
+            self.watch.moved(terms.discovery)
+        self.terms = held._replace(discovery=terms.discovery)
+        self.log.info("configuration read again", discovery=f"{terms.discovery[0]}:{terms.discovery[1]}",
+                      need_a_restart=waits)
+
+    def tell(self) -> None:
+        while True:
+            gevent.sleep(STATUS_S)
+            self.log.info("status", **self.status())
+
+    def status(self) -> dict:
+        turns = self.loop.turns
+        return {"core": self.machine.status(), "front": self.front.status(), "discovery": self.watch.status(),
+                "turn_us": [turns.get_value_at_percentile(50), turns.get_value_at_percentile(99),
+                            turns.get_max_value()],
+                "cpu_s": round(time.process_time(), 2), "rss_mb": resident_mb()}
+
+
+def resident_mb() -> float:
+    """Megabytes resident, from the system; 0 where it does not tell."""
+    try:
+        with open("/proc/self/statm") as file:
+            return round(int(file.read().split()[1]) * 4096 / 1e6, 1)
+    except (OSError, ValueError, IndexError):
+        return 0.0
--- /dev/null
+++ b/hollyridge/resp/front.py
@@ -0,0 +1,331 @@
+"""The service side of the platform's protocol, on gevent: connections, joining, and orders that never block.
+
+A reader that leaves its orders unread is owed one message at most: what comes meanwhile merges into the newest state.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket as plain
+from typing import NamedTuple
+
+import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
+from gevent.socket import wait_write
+
+from hollyridge import interface as api
+from hollyridge.core.loop import Loop
+from hollyridge.resp import words
+from hollyridge.resp.codec import MESSAGE_MOST, Reader, RespError, encode
+from hollyridge.resp.sheet import Scribe, Sheet
+from hollyridge.steering.desk import Abilities, Parcel, merged
+from hollyridge.steering.lobby import Lobby
+
+BEAT = encode([b"hb_ok"])
+STRANGERS_MOST = 4096  # bytes of a message from who has not joined
+UNSENT_MOST = 65536  # bytes of answers to signs of life that a peer may leave unread
+CHUNK = 32768
+SEND_BUFFER = 32768
+
+
+class RespTerms(NamedTuple):
+    """`descriptors`: that the process may hold; `kept`: of these for everything but connections here. `patience`:
+    microseconds that a connection may take to join."""
+
+    host: str
+    port: int
+    descriptors: int
+    kept: int
+    patience: int
+    names: words.Names
+
+
+class Stream:
+    """One connection, whoever is at its other end."""
+
+    __slots__ = ("number", "sock", "address", "zone", "node", "proxy", "sheet", "planned", "unsent", "owed", "closed",
+                 "heard")
+
+    def __init__(self, number: int, sock, address: tuple, now: int) -> None:
+        self.number, self.sock, self.address, self.heard = number, sock, address, now
+        self.zone = self.node = self.proxy = -1  # a collector has a zone only
+        self.sheet, self.planned = Sheet(), Sheet()  # as written, and as written once all that waits has left
+        self.unsent = b""
+        self.owed: Parcel | None = None
+        self.closed = ""
+
+    @property
+    def joined(self) -> bool:
+        return self.zone >= 0
+
+
+class RespFront:
+    """Serves `terms` for the machine of `loop`."""
+
+    def __init__(self, loop: Loop, terms: RespTerms, boot: api.Bootstrap, log) -> None:
+        self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
+        self.terms, self.log = terms, log
+        self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
+        self.reading = words.Reading(terms.names, boot)
+        self.scribe = Scribe(lambda: self.machine.desk.store, terms.names.methods, self.name_of)
+        proxies, zones = terms.names.proxies, len(terms.names.zones)
+        self.room = max(16, terms.descriptors - terms.kept)  # connections in all
+        self.lobby = Lobby(terms.patience, max(8, self.room - proxies - self.COLLECTORS * zones))
+        self.streams: dict[int, Stream] = {}
+        self.by_proxy: dict[int, Stream] = {}
+        self.collectors: dict[int, list[Stream]] = {}
+        self.number = 0
+        self.came = Event()
+        self.counts = dict.fromkeys(("connections", "messages_in", "bytes_out", "spoilt", "unreadable", "refused",
+                                     "overdue", "merged", "slow"), 0)
+        self.why: dict[str, int] = {}
+        self.server = StreamServer((terms.host, terms.port), self.serve, backlog=1024)
+
+    COLLECTORS = 2  # connections of one zone's: a new one may come before the old one is seen to end
+
+    # Life.
+
+    def start(self) -> int:
+        """Listen; returns the port. OSError if the address is taken."""
+        self.server.start()
+        gevent.spawn(self.sweep)
+        return self.server.server_port
+
+    def stop(self) -> None:
+        self.server.stop(timeout=0)
+        for stream in list(self.streams.values()):
+            self.close(stream, "the assigner stops")
+
+    def close(self, stream: Stream, why: str) -> None:
+        if not stream.closed:
+            stream.closed = why
+            try:
+                stream.sock.shutdown(plain.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def sweep(self) -> None:
+        """Close who has not joined in time."""
+        while True:
+            at = self.lobby.next_at
+            if at is None:
+                self.came.clear()
+                self.came.wait()
+                continue
+            gevent.sleep(max(0.01, (at - self.clock()) / 1e6))
+            for number in self.lobby.overdue(self.clock()):
+                self.turn_out(number, "did not join in time")
+
+    def turn_out(self, number: int, why: str) -> None:
+        stream = self.streams.get(number)
+        if stream is not None:
+            self.counts["overdue"] += 1
+            self.refuse(stream, why)
+
+    def refuse(self, stream: Stream, why: str) -> None:
+        if stream.closed:
+            return
+        self.send(stream, encode([b"reject", b"why", why.encode()[:200]]))
+        self.close(stream, why)
+
+    def tell(self, why: str, stream: Stream) -> None:
+        """A line at the 1st, 2nd, 4th, 8th ... of each reason."""
+        if len(self.why) >= 256 and why not in self.why:
+            why = "other"
+        times = self.why[why] = self.why.get(why, 0) + 1
+        if times & (times - 1) == 0:
+            self.log.warning("not taken", why=why, peer=stream.address[0], node=stream.node, times=times)
+
+    def serve(self, sock, address: tuple) -> None:
+        now = self.clock()
+        self.number += 1
+        self.counts["connections"] += 1
+        stream = self.streams[self.number] = Stream(self.number, sock, address, now)
+        for number in self.lobby.came(now, stream.number):
+            self.turn_out(number, "no room for more who have not joined")
+        self.came.set()
+        try:
+            sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+            sock.setsockopt(plain.SOL_SOCKET, plain.SO_SNDBUF, SEND_BUFFER)
+            self.read_on(stream)
+        except OSError as trouble:
+            stream.closed = stream.closed or f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}"
+        except RespError as trouble:
+            self.counts["unreadable"] += 1
+            self.tell(f"unreadable: {trouble}", stream)
+            if not stream.joined:
+                self.refuse(stream, str(trouble))
+            stream.closed = stream.closed or str(trouble)
+        finally:
+            stream.closed = stream.closed or "closed by the other side"
+            self.end(stream)
+            try:
+                sock.shutdown(plain.SHUT_WR)
+            except OSError:
+                pass
+            sock.close()
+
+    def end(self, stream: Stream) -> None:
+        """Tell of the stream's end; an older stream of a proxy that has a newer one ends nothing."""
+        self.streams.pop(stream.number, None)
+        self.lobby.left(stream.number)
+        stream.owed, stream.unsent = None, b""
+        if stream in self.collectors.get(stream.zone, ()):
+            self.collectors[stream.zone].remove(stream)
+        if stream.proxy >= 0 and self.by_proxy.get(stream.proxy) is stream:
+            del self.by_proxy[stream.proxy]
+            self.machine.leave(self.clock(), stream.proxy)
+            self.loop.nudge()
+
+    # In.
+
+    def read_on(self, stream: Stream) -> None:
+        reader = Reader(STRANGERS_MOST)
+        while not stream.closed:
+            chunk = stream.sock.recv(CHUNK)
+            if not chunk or stream.closed:
+                return
+            stream.heard = self.clock()
+            for message in reader.feed(chunk):
+                self.counts["messages_in"] += 1
+                self.take(stream, message)
+                if stream.closed:
+                    return
+            if stream.joined:
+                reader.most = MESSAGE_MOST
+            gevent.sleep(0)  # however much one sends, others have their turn
+
+    def take(self, stream: Stream, message: list[bytes]) -> None:
+        try:
+            word = self.reading.read(message)
+            kind = type(word)
+            if kind is words.Beat:
+                if len(stream.unsent) < UNSENT_MOST:
+                    self.send(stream, BEAT)
+            elif kind is words.Hello:
+                self.hello(stream, word)
+            elif kind is words.Collector:
+                self.collector(stream, word)
+            elif not stream.joined:
+                raise words.Spoilt("a report before any joining")
+            else:
+                self.news(stream, word)
+        except words.Spoilt as trouble:
+            self.counts["spoilt"] += 1
+            self.tell(f"{message[0][:20].decode('utf-8', 'replace')}: {trouble}", stream)
+            if not stream.joined:
+                self.counts["refused"] += 1
+                self.refuse(stream, str(trouble))
+
+    def hello(self, stream: Stream, word: words.Hello) -> None:
+        if stream.joined:
+            raise words.Spoilt("joined already")
+        now = self.clock()
+        self.lobby.left(stream.number)
+        proxy = self.machine.join(now, self, word.node, word.zone, word.rate, word.cold)
+        if proxy is None:
+            raise words.Spoilt("no room for another proxy")
+        stream.zone, stream.node, stream.proxy = word.zone, word.node, proxy
+        self.by_proxy[proxy] = stream
+        self.loop.nudge()
+
+    def collector(self, stream: Stream, word: words.Collector) -> None:
+        if stream.joined:
+            raise words.Spoilt("joined already")
+        self.lobby.left(stream.number)
+        stream.zone = word.zone
+        row = self.collectors.setdefault(word.zone, [])
+        row.append(stream)
+        if len(row) > self.COLLECTORS:
+            self.close(min(row, key=lambda one: one.heard), "a newer collector of its zone came")
+
+    def news(self, stream: Stream, word: words.Word) -> None:
+        now, machine = self.clock(), self.machine
+        if type(word) is words.Met:
+            if stream.proxy >= 0:
+                raise words.Spoilt("not for a proxy to say")
+            task = machine.tasks.index.get(word.endpoint)
+            if task is None:
+                raise words.Spoilt("names no listed task")
+            machine.tell(now, api.TrafficReport(word.zone, task, word.tries, word.bad, word.latency, word.over,
+                                                word.load))
+        else:
+            proxy = machine.proxies.index.get(word.node)
+            if stream.proxy >= 0 and stream.node != word.node:
+                raise words.Spoilt("speaks for another proxy")
+            if proxy is None or proxy not in self.by_proxy:
+                return  # it has left meanwhile
+            if type(word) is words.Offered:
+                machine.tell(now, api.OfferedLoad(word.rpcs, word.over, proxy, word.method, word.unanswered))
+            elif stream.proxy < 0:
+                raise words.Spoilt("not for a collector to say")
+            else:
+                machine.receipt(now, proxy, word.mark, word.took)
+        self.loop.nudge()
+
+    # Out.
+
+    def name_of(self, task: int) -> str:
+        return self.machine.tasks.names[task]
+
+    def lines(self, proxy: int, parcel: Parcel) -> tuple[int, int]:
+        stream = self.by_proxy[proxy]
+        lines = self.scribe.lines(stream.planned, parcel)
+        return lines, sum(1 + len(value) for value in stream.planned.told.values())
+
+    def write(self, proxy: int, parcel: Parcel) -> None:
+        stream = self.by_proxy.get(proxy)
+        if stream is None or stream.closed:
+            return
+        if stream.unsent:
+            stream.owed = parcel if stream.owed is None else merged(stream.owed, parcel)
+            self.counts["merged"] += 1
+            return
+        self.send(stream, self.scribe.write(stream.sheet, parcel).data)
+
+    def send(self, stream: Stream, data: bytes) -> None:
+        """Without waiting; what the other side does not take yet is sent by a greenlet of its own."""
+        if stream.unsent:
+            stream.unsent += data
+            return
+        try:
+            sent = os.write(stream.sock.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:  # its reader will see that too
+            self.close(stream, "connection lost")
+            return
+        self.counts["bytes_out"] += sent
+        if sent < len(data):
+            self.counts["slow"] += 1
+            stream.unsent = data[sent:]
+            gevent.spawn(self.flush, stream)
+
+    def flush(self, stream: Stream) -> None:
+        try:
+            while stream.unsent and not stream.closed:
+                wait_write(stream.sock.fileno())
+                if stream.closed:
+                    return
+                sent = os.write(stream.sock.fileno(), stream.unsent)
+                self.counts["bytes_out"] += sent
+                stream.unsent = stream.unsent[sent:]
+                if not stream.unsent and stream.owed is not None:
+                    parcel, stream.owed = stream.owed, None
+                    stream.unsent = self.scribe.write(stream.sheet, parcel).data
+        except OSError:
+            self.close(stream, "connection lost")
+
+    def detach(self, proxy: int, why: str) -> None:
+        stream = self.by_proxy.pop(proxy, None)
+        if stream is not None:
+            self.close(stream, why)
+
+    def send_on(self, proxy: int, to: str, why: str) -> None:
+        self.detach(proxy, why)  # the protocol names nobody to go to
+
+    def status(self) -> dict:
+        return {**self.counts, "streams": len(self.streams), "proxies": len(self.by_proxy),
+                "waiting": len(self.lobby.waiting)}
--- /dev/null
+++ b/hollyridge/resp/words.py
@@ -0,0 +1,239 @@
+"""The platform's words to typed news, and tables to the fields of its orders. No I/O.
+
+A message that names something unknown, lacks a field or has one out of range is `Spoilt`: it is passed over, whatever
+came around it counts. Times come in milliseconds and leave in whole microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from math import isfinite
+from typing import NamedTuple, Union
+
+from hollyridge.interface import Bootstrap
+
+RATE_MOST = 1e6  # RPCs a second that one figure can stand for
+SPAN_MOST = 600_000.0  # ms that a report may cover
+LATE = 4  # a good answer's mean time is below so many of the longest deadlines, noise included
+UTIL_MOST = 16.0
+FIGURE_MOST = 1e9
+
+
+class Spoilt(Exception):  # noqa: N818
+    """A message that can be read and not used; the text says why."""
+
+
+class Beat(NamedTuple):
+    """A question for a sign of life."""
+
+
+class Collector(NamedTuple):
+    zone: int
+
+
+class Hello(NamedTuple):
+    """A proxy joins. `cold`: it holds no table that was ordered."""
+
+    node: int
+    zone: int
+    rate: float
+    cold: bool
+
+
+class Met(NamedTuple):
+    """What the proxies of a zone met at a task; times in microseconds, `load` as `interface.TrafficReport` has it."""
+
+    zone: int
+    endpoint: str
+    tries: int
+    bad: int
+    latency: int
+    over: int
+    load: tuple[float, ...]
+
+
+class Offered(NamedTuple):
+    node: int
+    method: int
+    rpcs: int
+    unanswered: int
+    over: int
+
+
+class Applied(NamedTuple):
+    node: int
+    mark: int
+    took: int
+
+
+Word = Union[Beat, Collector, Hello, Met, Offered, Applied]
+
+
+class Names(NamedTuple):
+    """What a deployment's words mean: zones and methods in order, how many proxies it has, the names of load."""
+
+    zones: tuple[str, ...]
+    methods: tuple[str, ...]
+    proxies: int
+
+
+def number(fields: dict[bytes, bytes], name: bytes, most: float, least: float = 0.0) -> float:
+    raw = fields.get(name)
+    if raw is None:
+        raise Spoilt(f"lacks {name.decode()}")
+    try:
+        value = float(raw) if len(raw) <= 32 else float("nan")
+    except ValueError:
+        value = float("nan")
+    if not least <= value <= most:  # nan neither
+        raise Spoilt(f"{name.decode()} is no sensible figure")
+    return value
+
+
+def count(fields: dict[bytes, bytes], name: bytes, most: float) -> int:
+    value = number(fields, name, most)
+    if value != int(value):
+        raise Spoilt(f"{name.decode()} is not whole")
+    return int(value)
+
+
+def micros(milliseconds: float) -> int:
+    return round(milliseconds * 1000)
+
+
+class Reading:
+    """Reads messages by the names and terms of one deployment."""
+
+    def __init__(self, names: Names, boot: Bootstrap) -> None:
+        self.zones = {name.encode(): z for z, name in enumerate(names.zones)}
+        self.methods = {name.encode(): k for k, name in enumerate(names.methods)}
+        self.proxies, self.loads = names.proxies, boot.load_names
+        self.longest = LATE * max(m.deadline for m in boot.methods) / 1000
+        self.kinds = {b"hb": self.beat, b"telemetry": self.collector, b"attach": self.hello,
+                      b"upstream_stats": self.met, b"client_stats": self.offered, b"done": self.applied}
+
+    def read(self, parts: Sequence[bytes]) -> Word:
+        """One message. Spoilt says why it can't be used."""
+        kind = self.kinds.get(parts[0])
+        if kind is None:
+            raise Spoilt("no such message is for an assigner")
+        fields = dict(zip(parts[1::2], parts[2::2]))
+        if len(parts) % 2 == 0 or 2 * len(fields) != len(parts) - 1:
+            raise Spoilt("names and values do not pair")
+        return kind(fields)
+
+    def beat(self, fields: dict) -> Beat:
+        return Beat()
+
+    def collector(self, fields: dict) -> Collector:
+        return Collector(self.one_of(self.zones, fields, b"locality"))
+
+    def hello(self, fields: dict) -> Hello:
+        return Hello(self.node(fields), self.one_of(self.zones, fields, b"locality"),
+                     number(fields, b"w", RATE_MOST), self.flag(fields, b"cold"))
+
+    def met(self, fields: dict) -> Met:
+        span = number(fields, b"interval", SPAN_MOST, 0.001)
+        tries = count(fields, b"total", RATE_MOST * max(span, 1000) / 1000)
+        bad = count(fields, b"errors", tries)
+        # Where none was good there is no mean time to tell.
+        took = number(fields, b"rtt", self.longest) if tries > bad or b"rtt" in fields else 0.0
+        endpoint = fields.get(b"endpoint", b"")
+        if not 0 < len(endpoint) <= 256:
+            raise Spoilt("lacks endpoint")
+        return Met(self.one_of(self.zones, fields, b"locality"), endpoint.decode("utf-8", "replace"), tries, bad,
+                   micros(took), micros(span), self.load(fields.get(b"metrics")))
+
+    def load(self, raw: bytes | None) -> tuple[float, ...]:
+        """A load report in the order of the settings; empty where there is none, -1 for a figure it lacks."""
+        if not raw:
+            return ()
+        told: dict[str, float] = {}
+        for pair in raw.split(b","):
+            name, colon, value = pair.partition(b":")
+            try:
+                figure = float(value)
+            except ValueError:
+                figure = float("nan")
+            most = UTIL_MOST if name == b"util" else FIGURE_MOST
+            if not colon or not isfinite(figure) or not 0 <= figure <= most:
+                raise Spoilt("metrics has no sensible figure")
+            told[name.decode("utf-8", "replace")] = figure
+        return tuple(told.get(name, -1.0) for name in self.loads)
+
+    def offered(self, fields: dict) -> Offered:
+        span = number(fields, b"interval", SPAN_MOST, 0.001)
+        rpcs = count(fields, b"total", RATE_MOST * max(span, 1000) / 1000)
+        return Offered(self.node(fields), self.one_of(self.methods, fields, b"route"), rpcs,
+                       count(fields, b"errors", rpcs), micros(span))
+
+    def applied(self, fields: dict) -> Applied:
+        return Applied(self.node(fields), count(fields, b"nonce", 65535),
+                       micros(number(fields, b"latency", SPAN_MOST)))
+
+    def node(self, fields: dict) -> int:
+        return count(fields, b"node", self.proxies - 1)
+
+    @staticmethod
+    def one_of(known: dict[bytes, int], fields: dict, name: bytes) -> int:
+        at = known.get(fields.get(name, b""))
+        if at is None:
+            raise Spoilt(f"{name.decode()} names nothing known" if name in fields else f"lacks {name.decode()}")
+        return at
+
+    @staticmethod
+    def flag(fields: dict, name: bytes) -> bool:
+        if fields.get(name) not in (b"0", b"1"):
+            raise Spoilt(f"{name.decode()} is neither 0 nor 1")
+        return fields[name] == b"1"
+
+
+class Part(NamedTuple):
+    """One part of an order. `methods` empty for all; `lines` by name, weight 0 takes out; `level` None for no
+    change."""
+
+    methods: tuple[str, ...] = ()
+    whole: bool = False
+    lines: tuple[tuple[str, float], ...] = ()
+    level: tuple[float, int] | None = None
+    out: tuple[str, ...] = ()
+    back: tuple[str, ...] = ()
+
+    @property
+    def size(self) -> int:
+        """What the channel counts for it, the mark and the message's head left out."""
+        return self.whole + len(self.lines) + (self.level is not None) + len(self.out) + len(self.back)
+
+
+def fields_of(part: Part) -> list[bytes]:
+    """
+    >>> fields_of(Part(("lookup", "order"), True, (("s-1", 1.5), ("s-2", 0.0)), (0.9, 1)))
+    [b'classes', b'lookup+order', b'whole', b'1', b'lines', b's-1:1.5,s-2:0', b'level', b'0.9', b'retry', b'1']
+    """
+    words: list[str] = []
+    if part.methods:
+        words += "classes", "+".join(part.methods)
+    if part.whole:
+        words += "whole", "1"
+    if part.lines:
+        words += "lines", ",".join(f"{name}:{weight:.6g}" for name, weight in part.lines)
+    if part.level is not None:
+        words += "level", f"{part.level[0]:.6g}", "retry", str(part.level[1])
+    for name in ("out", "back"):
+        if getattr(part, name):
+            words += name, ",".join(getattr(part, name))
+    return [word.encode() for word in words]
+
+
+def order(parts: Iterable[Part], mark: int) -> list[list[bytes]]:
+    """One message of the channel: its parts as messages of the protocol, all but the last tied to the next.
+
+    >>> order([Part(lines=(("s-1", 2.0),)), Part(("lookup",), level=(0.5, 0))], 7)[1]
+    [b'assign', b'classes', b'lookup', b'level', b'0.5', b'retry', b'0', b'ticket', b'7']
+    """
+    messages = [[b"assign", *fields_of(part)] for part in parts] or [[b"assign"]]
+    if mark >= 0:
+        messages[-1] += [b"ticket", b"%d" % mark]
+    for message in messages[:-1]:
+        message += [b"more", b"1"]
+    return messages
--- /dev/null
+++ b/hollyridge/roster/__init__.py
@@ -0,0 +1,1 @@
+"""The list of tasks from a discovery service over HTTP."""
--- /dev/null
+++ b/hollyridge/roster/caller.py
@@ -0,0 +1,73 @@
+"""When discovery is dialled, and when a call counts as lost. No I/O, no clock.
+
+One watch is to stand at any time. It speaks every `beat`, changes or not, so one that has been silent for longer is
+dead, whatever its connection says. A call that fails is made again after a growing, jittered pause: discovery is
+shared and works through calls in turn, and many who all ask again at once would keep it down.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+
+SILENT = 1.5  # beats without a word after which a watch is dead
+ANSWER = 1.5  # beats within which a call is answered: those before it in turn included
+CONNECT = 0.5  # beats within which a connection stands
+FIRST, LONGEST = 0.1, 1.0  # beats: the first pause and the longest
+
+
+class Happened(Enum):
+    TICK = 0
+    DIALLED = 1
+    HEARD = 2  # anything at all on the call
+    LIST = 3  # a list, a change, or an empty line: the watch stands
+    ENDED = 4
+    MOVED = 5  # discovery has another address
+
+
+class Deed(Enum):
+    NOTHING = 0
+    DIAL = 1
+    DROP = 2  # the call is dead: close it
+
+
+class Caller:
+    """Times in microseconds.
+
+    >>> caller = Caller(2_000_000, Random(1))
+    >>> caller.take(0, Happened.TICK), caller.take(0, Happened.DIALLED), caller.next_at
+    (<Deed.DIAL: 1>, <Deed.NOTHING: 0>, 3000000)
+    >>> caller.take(2_900_000, Happened.LIST), caller.next_at, caller.take(5_900_001, Happened.TICK)
+    (<Deed.NOTHING: 0>, 5900000, <Deed.DROP: 2>)
+    >>> caller.take(5_900_002, Happened.ENDED), 100_000 <= caller.next_at - 5_900_002 <= 300_000
+    (<Deed.NOTHING: 0>, True)
+    """
+
+    def __init__(self, beat: int, rng: Random) -> None:
+        self.beat, self.rng = beat, rng
+        self.calling, self.stands = False, False
+        self.failures = 0
+        self.next_at = 0  # when to dial, or when the call is lost
+
+    def take(self, now: int, what: Happened) -> Deed:
+        """One thing that happened; what is to be done."""
+        if what is Happened.DIALLED:
+            self.calling, self.stands = True, False
+            self.next_at = now + round(ANSWER * self.beat)
+        elif what is Happened.LIST:
+            self.stands, self.failures = True, 0
+            self.next_at = now + round(SILENT * self.beat)
+        elif what is Happened.HEARD and self.calling:
+            self.next_at = max(self.next_at, now + round(SILENT * self.beat)) if self.stands else self.next_at
+        elif what is Happened.ENDED:
+            self.calling = self.stands = False
+            pause = min(LONGEST, FIRST * 2 ** min(self.failures, 16)) * self.beat
+            self.failures += 1
+            self.next_at = now + round(pause * (0.5 + self.rng.random()))
+        elif what is Happened.MOVED:
+            self.failures = 0
+            self.next_at = now
+            return Deed.DROP if self.calling else Deed.DIAL
+        elif what is Happened.TICK and now >= self.next_at:
+            return Deed.DROP if self.calling else Deed.DIAL
+        return Deed.NOTHING
--- /dev/null
+++ b/hollyridge/roster/listing.py
@@ -0,0 +1,105 @@
+"""Which tasks are listed, from what discovery tells: versions that grow, starts on the monotonic clock. No I/O.
+
+Fulfils `core.machine.Source`. A list that is older than what is held changes nothing; starts are turned to the
+monotonic clock once, so that a task told of twice has started once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hollyridge.interface import Listed, ListKind, RosterChange, TaskState
+from hollyridge.roster.words import Entry, News
+from hollyridge.steering.members import AskedAgain, Outcome
+
+
+class Heard(NamedTuple):
+    """Discovery told this; `stale`: it is what was known before the start."""
+
+    news: News
+    stale: bool = False
+
+
+class CallFailed(NamedTuple):
+    """Discovery could not be asked, or a watch of it broke."""
+
+
+class Row(NamedTuple):
+    entry: Entry
+    listed: Listed
+
+
+class Listing:
+    """`enter(name)` is a task's index, None where no more are taken. `ahead`: microseconds by which the monotonic clock
+    is ahead of the Unix clock (mostly below 0)."""
+
+    settled = True
+
+    def __init__(self, enter: Callable[[str], int | None], ahead: int) -> None:
+        self.enter, self.ahead = enter, ahead
+        self.rows: dict[str, Row] = {}
+        self.version = -1
+        self.asked = self.failed = self.older = self.too_many = self.starts = 0
+
+    def take(self, now: int, what: object) -> Outcome:
+        if type(what) is Heard:
+            return self.hear(now, what)
+        if type(what) is CallFailed:
+            self.failed += 1
+            return Outcome(RosterChange(max(self.version, 0), ListKind.FAILED, ()))
+        if type(what) is AskedAgain:
+            self.asked += 1
+        return Outcome()
+
+    def hear(self, now: int, what: Heard) -> Outcome:
+        news = what.news
+        if news.version < self.version or not news.full and self.version < 0:
+            self.older += 1
+            return Outcome()
+        if news.version == self.version and not news.full and not news.entries:
+            return Outcome(RosterChange(self.version, ListKind.DELTA, ()))
+        self.version = news.version
+        listed: list[Listed] = []
+        left: list[str] = []
+        for entry in news.entries:
+            before = self.rows.get(entry.name)
+            if entry.state == TaskState.GONE:
+                if before is not None:
+                    listed.append(before.listed._replace(state=TaskState.GONE))
+                    left.append(entry.name)
+                    del self.rows[entry.name]
+                continue
+            task = before.listed.task if before is not None else self.enter(entry.name)
+            if task is None:
+                self.too_many += 1
+                continue
+            if before is not None and before.entry.started_ms == entry.started_ms:
+                started = before.listed.started_at
+            else:
+                started = self.start_of(now, entry.started_ms)
+                self.starts += before is not None
+            row = Row(entry, Listed(task, entry.zone, 0, entry.cell, entry.state, entry.weight, started))
+            self.rows[entry.name] = row
+            listed.append(row.listed)
+        if news.full:
+            told = {entry.name for entry in news.entries}
+            for name in [name for name in self.rows if name not in told]:
+                left.append(name)
+                del self.rows[name]
+        kind = ListKind.CACHED if what.stale else ListKind.FULL if news.full else ListKind.DELTA
+        return Outcome(RosterChange(max(self.version, 0), kind, tuple(listed)), left=tuple(left))
+
+    def start_of(self, now: int, started_ms: float) -> int:
+        """On the monotonic clock; 0 for long ago, now for what is yet to come."""
+        return 0 if started_ms <= 0 else min(now, max(1, round(started_ms * 1000) + self.ahead))
+
+    def whole(self, kind: ListKind) -> RosterChange:
+        return RosterChange(max(self.version, 0), kind, tuple(row.listed for row in self.rows.values()))
+
+    def next_at(self, now: int) -> int | None:
+        return None
+
+    def figures(self) -> dict[str, int]:
+        return {"list_version": self.version, "list_calls_failed": self.failed, "older_lists": self.older,
+                "restarts": self.starts, "tasks_refused": self.too_many}
--- /dev/null
+++ b/hollyridge/roster/words.py
@@ -0,0 +1,79 @@
+"""Discovery's JSON to typed lists, each fault named. No I/O."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from hollyridge.interface import TaskState
+
+STATES = {"in_service": TaskState.READY, "terminating": TaskState.DRAINING, "terminated": TaskState.GONE}
+TASKS_MOST = 20_000
+
+
+class RosterError(Exception):
+    """What came in is no list of tasks."""
+
+
+class Server(msgspec.Struct):
+    """One entry as discovery writes it."""
+
+    id: Annotated[str, Meta(min_length=1, max_length=200, pattern=r"\A[^,:+\s]+\Z")]
+    zone: str
+    state: str
+    kind: str = ""
+    cell: Annotated[int, Meta(ge=0)] = 0
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    started_ms: Annotated[float, Meta(ge=0, le=1e14)] = 0.0
+
+
+class Page(msgspec.Struct):
+    """What discovery tells at once."""
+
+    version: Annotated[int, Meta(ge=0, le=1 << 60)]
+    full: bool
+    servers: Annotated[list[Server], Meta(max_length=TASKS_MOST)]
+
+
+class Entry(NamedTuple):
+    """A task as it is listed: outer name, zone by index, last start in Unix milliseconds."""
+
+    name: str
+    zone: int
+    cell: int
+    state: TaskState
+    weight: float
+    started_ms: float
+
+
+class News(NamedTuple):
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+
+
+def read(raw: bytes | Page, zones: dict[str, int]) -> News:
+    """One list or change. RosterError names what is wrong with it.
+
+    >>> read(b'{"version":2,"full":false,"servers":[{"id":"s-1","zone":"a","state":"gone"}]}', {"a": 0})
+    Traceback (most recent call last):
+    hollyridge.roster.words.RosterError: s-1 has no known state: gone
+    """
+    if isinstance(raw, Page):
+        page = raw
+    else:
+        try:
+            page = msgspec.json.decode(raw, type=Page)
+        except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as trouble:
+            raise RosterError(str(trouble)[:200]) from None
+    entries = []
+    for row in page.servers:
+        state, zone = STATES.get(row.state), zones.get(row.zone)
+        if state is None:
+            raise RosterError(f"{row.id} has no known state: {row.state[:40]}")
+        if zone is None:
+            raise RosterError(f"{row.id} has no known zone: {row.zone[:40]}")
+        entries.append(Entry(row.id, zone, row.cell, state, row.weight, row.started_ms))
+    return News(page.version, page.full, tuple(entries))
--- a/hollyridge/steering/members.py
+++ b/hollyridge/steering/members.py
@@ -261,3 +261,6 @@
         if not self.settled:
             return now + max(1000, self.terms.settle // 4)
         return min((row.until for row in self.rows.values() if row.until >= 0), default=None)
+
+    def figures(self) -> dict[str, int]:
+        return {"restarts": self.restarts, "returns": self.returns, "lapsed": self.lapsed}
