Sums of unserved RPCs may exceed those that came; last tries of gone tasks are heard

At fault: `Reading.offered` bounding errors by total, `RespFront.news` asking only for tasks that are still listed. The module lost the demand of just the proxies in trouble.

--- a/hollyridge/resp/front.py
+++ b/hollyridge/resp/front.py
@@ -246,9 +246,9 @@
         if type(word) is words.Met:
             if stream.proxy >= 0:
                 raise words.Spoilt("not for a proxy to say")
-            task = machine.tasks.index.get(word.endpoint)
+            task = machine.tasks.find(word.endpoint)  # also one that has just gone: its last tries are news of then
             if task is None:
-                raise words.Spoilt("names no listed task")
+                raise words.Spoilt("names no task that was listed")
             machine.tell(now, api.TrafficReport(word.zone, task, word.tries, word.bad, word.latency, word.over,
                                                 word.load))
         else:
--- a/hollyridge/resp/words.py
+++ b/hollyridge/resp/words.py
@@ -163,9 +163,10 @@
 
     def offered(self, fields: dict) -> Offered:
         span = number(fields, b"interval", SPAN_MOST, 0.001)
-        rpcs = count(fields, b"total", RATE_MOST * max(span, 1000) / 1000)
-        return Offered(self.node(fields), self.one_of(self.methods, fields, b"route"), rpcs,
-                       count(fields, b"errors", rpcs), micros(span))
+        most = RATE_MOST * max(span, 1000) / 1000
+        # Those that could not be served may have come in an earlier interval: there can be more of them than came.
+        return Offered(self.node(fields), self.one_of(self.methods, fields, b"route"), count(fields, b"total", most),
+                       count(fields, b"errors", most), micros(span))
 
     def applied(self, fields: dict) -> Applied:
         return Applied(self.node(fields), count(fields, b"nonce", 65535),
--- a/hollyridge/steering/door.py
+++ b/hollyridge/steering/door.py
@@ -55,5 +55,10 @@
         if at is not None:
             self.resting[name] = now + self.rest, at
 
+    def find(self, name: Hashable) -> int | None:
+        """The index of a bearer that is in, or has left and still rests."""
+        at = self.index.get(name)
+        return at if at is not None else self.resting.get(name, (0, None))[1]
+
     def __len__(self) -> int:
         return len(self.index)
