--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,232 @@
+"""Stand-ins of the platform for tests: discovery over HTTP, proxies and collectors over RESP2, a configuration."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from hollyridge.resp.codec import Reader, encode
+
+ROOT = Path(__file__).parents[1]
+ZONES, CLASSES = ["khalda", "sahab"], ["read-chapter", "redeem-code"]
+SETTINGS = {
+    "balancers": 1, "discovery": "subscribe", "zones": ZONES, "round": 0.005, "weights": "rough",
+    "profiles": [
+        {"name": CLASSES[0], "slo": 0.5, "deadline": 1.5, "worth": 3.0, "repeat": "repeatable", "group": "all",
+         "window": 5.0, "late_share": 0.2},
+        {"name": CLASSES[1], "slo": 0.6, "deadline": 1.5, "worth": 2.0, "repeat": "once", "group": "all",
+         "window": 5.0, "late_share": 0.1}],
+    "family_info": {
+        "admit": "fraction", "agents": 400, "bare": 5.0, "counted_over": 10.0, "initial_set": 5,
+        "lines_per_s": 2900.0, "messages_most": 30, "most_waiting": 5800.0, "one_owner": False,
+        "outlier_after": 3, "overhead": 10.0, "partitions_n": 0, "per_try": 1.2, "period": 0.4, "pick": "p2c",
+        "retry_default": 0, "transit": 0.1, "worst_transit": 0.3, "class_own_zone": [False, False]},
+    "report": {"how": "inline", "names": ["util", "queue"]},
+    "rules": {"ask_within": 10.0, "cold_from": 0.2, "drain_grace": 3.0, "fall": 2.0, "fall_multiple": 4.0,
+              "warm_up": 10.0},
+    "tariffs": {"cross_zone": 0.12}}
+
+
+def server(name, zone=0, state="in_service", started_ms=0, **more):
+    return {"id": name, "addr": "10.1.0.18:8081", "zone": ZONES[zone], "kind": "m2", "cell": 3, "state": state,
+            "weight": 1.0, "started_ms": started_ms, **more}
+
+
+def page(version, servers, full=True):
+    return {"version": version, "full": full, "servers": servers}
+
+
+def words(**fields):
+    return [part.encode() for name, value in fields.items() for part in (name, str(value))]
+
+
+def message(kind, **fields):
+    return encode([kind.encode(), *words(**fields)])
+
+
+def wait_for(what, seconds=8.0):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        found = what()
+        if found:
+            return found
+        time.sleep(0.01)
+    raise AssertionError("did not come about in time")
+
+
+class Discovery:
+    """Answers watches with what `told` holds and whatever is `say`n later. `mood`: ok, refuse (503), or nonsense bytes
+    that every watch gets in place of a list."""
+
+    def __init__(self, first, beat=0.3):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.sock.getsockname())
+        self.first, self.beat, self.mood = first, beat, "ok"
+        self.asked, self.open, self.lock = [], [], threading.Lock()
+        self.nonsense = b""
+        self.stopped = False
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while not self.stopped:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                piece = sock.recv(4096)
+                if not piece:
+                    return
+                head += piece
+            self.asked.append((time.monotonic(), head.split(b" ")[1].decode()))
+            if self.mood == "hang":
+                time.sleep(30)
+            if self.mood == "refuse":
+                sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                sock.close()
+                return
+            with self.lock:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.put(sock, self.nonsense or json.dumps(self.first).encode())
+                self.open.append(sock)
+            while not self.stopped:
+                time.sleep(self.beat)
+                with self.lock:
+                    self.put(sock, b"")
+        except OSError:
+            pass
+
+    @staticmethod
+    def put(sock, line):
+        line += b"\n"
+        sock.sendall(b"%x\r\n%b\r\n" % (len(line), line))
+
+    def say(self, told):
+        with self.lock:
+            for sock in self.open:
+                try:
+                    self.put(sock, json.dumps(told).encode())
+                except OSError:
+                    pass
+
+    def stop(self):
+        self.stopped = True
+        self.sock.close()
+        for sock in self.open:
+            sock.close()
+
+
+class Peer:
+    """A proxy, a collector or a stranger; `table` and `levels` are what a proxy holds after its orders."""
+
+    def __init__(self, port, node=None, zone=0):
+        self.sock = socket.create_connection(("127.0.0.1", port), timeout=8)
+        self.reader, self.inbox = Reader(), []
+        self.node, self.table, self.levels, self.marks = node, {}, {}, []
+        if node is not None:
+            self.say("attach", node=node, locality=ZONES[zone], w=5.0, cold=1)
+
+    def say(self, kind, **fields):
+        self.sock.sendall(message(kind, **fields))
+
+    def hear(self, seconds=0.05):
+        """What came until nothing does for so long; None once closed."""
+        self.sock.settimeout(seconds)
+        try:
+            while True:
+                chunk = self.sock.recv(65536)
+                if not chunk:
+                    return None
+                for one in self.reader.feed(chunk):
+                    self.inbox.append(one)
+                    self.obey(one)
+        except TimeoutError:
+            return self.inbox
+        except ConnectionError:
+            return None
+
+    def obey(self, one):
+        fields = dict(zip(one[1::2], one[2::2]))
+        if one[0] != b"assign":
+            return
+        if fields.get(b"whole") == b"1":
+            self.table, self.levels = {}, {}
+        for pair in filter(None, fields.get(b"lines", b"").split(b",")):
+            name, weight = pair.decode().split(":")
+            self.table[name] = float(weight)
+            if float(weight) == 0:
+                del self.table[name]
+        if b"level" in fields:
+            self.levels[fields.get(b"classes", b"all").decode()] = float(fields[b"level"]), int(fields[b"retry"])
+        if b"ticket" in fields:
+            self.marks.append(int(fields[b"ticket"]))
+            self.say("done", node=self.node, nonce=fields[b"ticket"].decode(), latency=120.0)
+
+    def holds(self, names, seconds=8.0):
+        wait_for(lambda: self.hear() is not None and set(self.table) == set(names), seconds)
+
+    def closed(self, seconds):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if self.hear() is None:
+                return True
+        return False
+
+
+class Assigner:
+    """A started `run` process on a configuration in `folder`."""
+
+    def __init__(self, folder, discovery, known=None, sockets=512, settings=SETTINGS, **more):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.port = probe.getsockname()[1]
+        self.path = folder / "config.json"
+        self.document = {
+            "name": "n3", "listen": f"127.0.0.1:{self.port}", "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings, **more}
+        if known is not None:
+            self.document["known"] = known
+        self.write(json.dumps(self.document))
+        self.log = (folder / "log").open("w+")
+        self.process = subprocess.Popen([sys.executable, "-m", "hollyridge.node"], cwd=ROOT, stderr=self.log,
+                                        stdout=self.log, env={**os.environ, "BALANCER_CONFIG": str(self.path)})
+
+    def write(self, text):
+        self.path.write_text(text)
+
+    def ready(self):
+        def answers():
+            assert self.process.poll() is None, self.logged()
+            try:
+                peer = Peer(self.port)
+            except OSError:
+                return False
+            peer.say("hb")
+            return wait_for(peer.hear) == [[b"hb_ok"]]
+        wait_for(answers)
+        return self
+
+    def logged(self):
+        return (self.path.parent / "log").read_text()
+
+    def says(self, text, seconds=8.0):
+        wait_for(lambda: text in self.logged(), seconds)
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        """Its exit code after SIGTERM, and how long that took."""
+        begun = time.monotonic()
+        self.signal(signal.SIGTERM)
+        return self.process.wait(10), time.monotonic() - begun
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,200 @@
+"""Discovery: lists read, versions and starts, when it is dialled, and a watch against a scripted stand-in."""
+
+import json
+import time
+from random import Random
+
+import gevent
+import pytest
+import structlog
+from gevent.server import StreamServer
+from helpers import SECOND
+from stand_ins import page, server
+
+from hollyridge.interface import ListKind, TaskState
+from hollyridge.roster import words
+from hollyridge.roster.caller import Caller, Deed, Happened
+from hollyridge.roster.listing import CallFailed, Heard, Listing
+from hollyridge.roster.watch import Watch
+from hollyridge.steering.door import Door
+from hollyridge.steering.members import AskedAgain
+
+ZONES = {"khalda": 0, "sahab": 1}
+NOW = 1_000 * SECOND
+
+
+def news(version, *rows, full=False):
+    entries = tuple(words.Entry(name, 0, 0, state, 1.0, ms) for name, state, ms in rows)
+    return Heard(words.News(version, full, entries))
+
+
+READY, DRAINING, GONE = TaskState.READY, TaskState.DRAINING, TaskState.GONE
+
+
+class Desk:
+    def __init__(self):
+        self.door = Door(SECOND, 100)
+        self.listing = Listing(lambda name: self.door.enter(NOW, name), ahead=NOW - 50_000 * SECOND)
+
+    def take(self, what, now=NOW):
+        outcome = self.listing.take(now, what)
+        for name in outcome.left:
+            self.door.leave(now, name)
+        return outcome.change
+
+
+def test_starts_are_turned_to_the_monotonic_clock_once():
+    desk = Desk()
+    change = desk.take(news(1, ("a", READY, 0), ("b", READY, 49_998_000), ("c", READY, 60_000_000), full=True))
+    assert [entry.started_at for entry in change.entries] == [0, NOW - 2 * SECOND, NOW]
+    later = desk.take(news(2, ("c", DRAINING, 60_000_000)), NOW + SECOND)
+    assert later.entries[0].started_at == NOW  # the same start, not a restart a second later
+    again = desk.take(news(3, ("b", READY, 50_001_000)), NOW + 2 * SECOND)
+    assert again.entries[0].started_at == NOW + SECOND and desk.listing.starts == 1
+
+
+def test_changes_and_whole_lists():
+    desk = Desk()
+    assert desk.take(Heard(news(5, ("a", READY, 0), ("b", READY, 0), full=True).news, stale=True)
+                     ).kind == ListKind.CACHED
+    change = desk.take(news(6, ("a", GONE, 0), ("never", GONE, 0)))
+    assert change.kind == ListKind.DELTA and [(e.task, e.state) for e in change.entries] == [(0, GONE)]
+    assert desk.take(news(7, ("c", READY, 0), full=True)).kind == ListKind.FULL and set(desk.listing.rows) == {"c"}
+    assert [e.task for e in desk.listing.whole(ListKind.CACHED).entries] == [2]
+    assert desk.take(CallFailed()).kind == ListKind.FAILED and desk.take(AskedAgain()) is None
+
+
+def test_an_older_list_changes_nothing():
+    desk = Desk()
+    desk.take(news(9, ("a", READY, 0), full=True))
+    for old in (news(8, ("a", GONE, 0)), news(3, full=True)):
+        assert desk.take(old) is None
+    assert set(desk.listing.rows) == {"a"} and desk.listing.older == 2
+
+
+FAULTS = [
+    b"", b"[]", b"{", b"\xff\xfe", b'{"version":1}', b'{"version":-1,"full":true,"servers":[]}',
+    b'{"version":"1","full":true,"servers":[]}', b'{"version":1,"full":true,"servers":{}}',
+    b'{"version":1,"full":true,"servers":[{"id":"","zone":"khalda","state":"in_service"}]}',
+    b'{"version":1,"full":true,"servers":[{"id":"a,b","zone":"khalda","state":"in_service"}]}',
+    b'{"version":1,"full":true,"servers":[{"id":"a","zone":"mars","state":"in_service"}]}',
+    b'{"version":1,"full":true,"servers":[{"id":"a","zone":"khalda","state":"up"}]}',
+    b'{"version":1,"full":true,"servers":[{"id":"a","zone":"khalda","state":"in_service","weight":-1}]}',
+    b'{"version":1,"full":true,"servers":[{"id":"a","zone":"khalda","state":"in_service","started_ms":-1}]}']
+
+
+@pytest.mark.parametrize("raw", FAULTS)
+def test_nonsense_is_named(raw):
+    with pytest.raises(words.RosterError, match="."):
+        words.read(raw, ZONES)
+
+
+def test_calls_that_fail_are_made_again_after_growing_pauses():
+    caller, now, pauses = Caller(2 * SECOND, Random(5)), 0, []
+    for _ in range(12):
+        assert caller.take(now, Happened.TICK) is Deed.DIAL
+        caller.take(now, Happened.DIALLED)
+        caller.take(now, Happened.ENDED)
+        assert caller.take(now, Happened.TICK) is Deed.NOTHING
+        pauses.append(caller.next_at - now)
+        now = caller.next_at
+    assert all(1 * SECOND <= pause <= 3 * SECOND for pause in pauses[5:]) and max(pauses[:1]) <= 0.3 * SECOND
+    assert len(set(pauses)) == len(pauses)
+
+
+def test_a_silent_watch_is_dead_and_a_moved_one_dialled_at_once():
+    caller = Caller(2 * SECOND, Random(5))
+    caller.take(0, Happened.DIALLED)
+    for second in range(1, 20):
+        caller.take(second * SECOND, Happened.LIST)
+        assert caller.take(second * SECOND + 1, Happened.TICK) is Deed.NOTHING
+    assert caller.take(22 * SECOND, Happened.TICK) is Deed.DROP
+    caller.take(22 * SECOND, Happened.ENDED)
+    assert caller.take(22 * SECOND, Happened.MOVED) is Deed.DIAL
+    caller.take(22 * SECOND, Happened.DIALLED)
+    assert caller.take(22 * SECOND, Happened.MOVED) is Deed.DROP
+
+
+class Machine:
+    def __init__(self):
+        self.told = []
+
+    def happened(self, now, what):
+        self.told.append(what)
+
+
+class Script:
+    """A discovery that does as told with each connection."""
+
+    def __init__(self, *acts):
+        self.acts, self.asked = list(acts), []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def serve(self, sock, _):
+        self.asked.append(sock.recv(4096).split(b" ")[1])
+        act = self.acts.pop(0) if self.acts else b""
+        if act == "hang":
+            gevent.sleep(30)
+        sock.sendall(act)
+        gevent.sleep(0.05)
+
+
+def watch_of(script, beat=200_000):
+    machine, desk = Machine(), Desk()
+
+    class Loop:
+        clock = staticmethod(lambda: int(time.monotonic() * SECOND))
+
+        def nudge(self):
+            pass
+    loop = Loop()
+    loop.machine = machine
+    watch = Watch(loop, desk.listing, Caller(beat, Random(3)), ("127.0.0.1", script.server.server_port), ZONES,
+                  structlog.get_logger())
+    return watch, machine
+
+
+def chunked(*lines):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines)
+
+
+def line(version, *rows, full=True):
+    return json.dumps(page(version, [server(*row) for row in rows], full)).encode()
+
+
+ANSWERS = {
+    "refused": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "closed": b"",
+    "no http": b"hello\r\n\r\n",
+    "bad json": chunked(b"{"), "hangs": "hang", "endless head": b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000,
+    "bad chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}
+
+
+@pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS)
+def test_a_bad_answer_is_told_and_asked_again(answer):
+    script = Script(answer, chunked(line(4, ("a",)), b"", line(5, ("b",), full=False)))
+    watch, machine = watch_of(script)
+    job = gevent.spawn(watch.run)
+    with gevent.Timeout(5):
+        while len([one for one in machine.told if type(one) is Heard]) < 2:
+            gevent.sleep(0.01)
+    job.kill()
+    assert type(machine.told[0]) is CallFailed and len(script.asked) == 2
+    assert [one.news.version for one in machine.told if type(one) is Heard] == [4, 5]
+
+
+def test_after_a_move_it_asks_there_from_the_version_it_holds():
+    there = Script(chunked(line(8, ("b",), full=False)))
+    here = Script(chunked(line(7, ("a",)), b"", b""))
+    watch, machine = watch_of(here, beat=2_000_000)
+    machine.happened = lambda now, what: (machine.told.append(what), watch.listing.take(now, what))
+    job = gevent.spawn(watch.run)
+    with gevent.Timeout(5):
+        while watch.listing.version != 7:
+            gevent.sleep(0.005)
+        watch.moved(("127.0.0.1", there.server.server_port))
+        while watch.listing.version != 8:
+            gevent.sleep(0.005)
+    job.kill()
+    assert there.asked == [b"/v1/servers?stream=1&index=7"] and set(watch.listing.rows) == {"a", "b"}
