A reply's own receipts prove what has left: no more minutes of silence on large fleets

Ruled out: starts read wrongly (warm-up is a second there), the roster (changes arrive within 0.1 s of discovery's words), spoilt news. At fault: `Outbox.receipt` counted a reply's own lines as left only when another reply's receipts came, `proven` being used for levels alone. A reply above half the backlog (150 proxies x 22 lines) held everything until nobody had answered for 7.5 s; smaller ones left `spare` no room in a jam. Now a reply's own receipts count for everything.

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -403,12 +403,12 @@
 
 class Outbox:
     """What may leave, within the lines that may wait and the messages a proxy may get. Messages leave in
-    order: a receipt from any proxy proves that all sent before has left, and its own message; the latter
-    counts for levels that open: the rest stays held, which spares the channel. No pace is believed in."""
+    order: a receipt from any proxy proves that all sent before has left, and its own message: so many of a
+    reply's proxies as have told of it are so much of it that has left. No pace is believed in."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.boot = boot
-        self.sent = self.left = self.proven = 0.0  # lines ever sent, proven to have left, so with own replies
+        self.sent = self.left = 0.0  # lines ever sent, and those proven to have left
         self.at = self.heard = self.mark = 0
         # So far may what can wait fill the channel: a drain ordered behind it is still in time.
         in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
@@ -429,7 +429,7 @@
         if receipt.mark == self.mark and self.own:  # else nothing would prove the last reply
             self.told.add(receipt.proxy)
             part = min(1.0, len(self.told) / self.own)
-            self.proven = max(self.proven, before + (self.sent - before) * part * (not self.messages))
+            self.left = max(self.left, before + (self.sent - before) * part * (not self.messages))
 
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= times * self.usual
@@ -438,7 +438,7 @@
         most = 0.6 * self.boot.messages_most
         return most > 0 and any(len(self.written.get(proxy, ())) + 1 > most for proxy in proxies)
 
-    def spare(self, now: int, proxies: list[int], urgent: bool, left: float = 0.0) -> int:
+    def spare(self, now: int, proxies: list[int], urgent: bool) -> int:
         if not proxies:
             return 1 << 30
         since = now - self.boot.counted_over - self.boot.worst_transit
@@ -448,7 +448,7 @@
                 times.popleft()
             if len(times) + 1 > (0.95 if urgent else 0.6) * self.boot.messages_most:
                 return 0
-        waits = self.sent - max(self.left, left)
+        waits = self.sent - self.left
         free = int((0.9 * self.boot.most_waiting - waits) / len(proxies) - self.boot.overhead - 1)
         return max(0, free if urgent else min(free, int((self.usual - waits) / len(proxies))))
 
@@ -731,9 +731,7 @@
             self.owed = self.owed or len(unlisted) > free
             gone += unlisted[:free]
             spare = 0 if proxies and crowd else free - len(unlisted)
-            opens = all(level > sent[k] for k, level in levels.items()) and not (proxies and crowd)
-            ahead = box.spare(now, proxies, False, box.proven) - len(gone) if opens else 0
-            levels = levels if len(levels) <= max(spare, ahead) else {}
+            levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (-abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
             spare = max(spare - len(levels), len(gone) == len(before) and room - len(gone))
             moved = moved[:max(spare, 0)]
