--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -389,7 +389,7 @@
         can show. Up to that quickly, past it with care."""
         level, well = self.open[zone], not busy or stress < 1.0
         if not well and stress > 1.0 and now >= self.cut_at[zone] + self.lag:
-            level = min(level, able) * (1 - min(0.8, (stress - 1.0) / 4))
+            level = min(level, able) * (1 - min(0.9, (stress - 1.0) / 4))
             self.cut_at[zone] = now
         else:
             level = min(level + 0.15 * well, able) if level < able or busy else level + 0.03
