--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -180,6 +180,15 @@
     assert seen == sorted(seen) and seen[-1] == 1.0
 
 
+@pytest.mark.parametrize("bad, least, most", [(3, 0.6, 1.0), (5, 0.4, 0.7), (10, 0.0, 0.3)])
+def test_the_first_cut_is_as_deep_as_tries_end_badly(bad, least, most):
+    """A jam that is cut by half only goes on serving what has run out of time, until the next cut can show."""
+    rig = Rig()
+    for _ in range(2):
+        rig.period(*[rig.met(z, i, bad=bad)._replace(load=(0.95, 0.0)) for z in (0, 1) for i in range(8)])
+    assert least <= rig.assigner.levels.open[0] <= most
+
+
 def test_in_a_lasting_jam_without_levels_lesser_methods_are_left_few_tasks_till_it_is_over():
     rig = Rig(admission=api.Admission.OFF)
 
