What comes before unreadable bytes counts; a move of discovery never ends the asking

Read over with the bad input in mind. `Reader.feed` lost the good messages of the chunk in which the unreadable began: a proxy's last reports and marks. `Watch.drop` relied on the end of a call that had not begun to run, after which nothing dialled any more (SIGHUP within the same turn as a dial). `RespFront.flush` waited on a bare descriptor that could be closed and given again under it: the socket's own send ends with an error. Descriptors are also bounded by what the system allows. Each has a test but the last two.

--- a/hollyridge/node/program.py
+++ b/hollyridge/node/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import time
 from collections.abc import Callable
 from random import Random
@@ -41,8 +42,8 @@
         self.machine.happened(now, Heard(terms.known, stale=True))
         zones = {name: z for z, name in enumerate(terms.names.zones)}
         self.watch = Watch(self.loop, listing, Caller(BEAT, Random(terms.seed ^ 1)), terms.discovery, zones, log)
-        self.front = RespFront(self.loop, RespTerms(*terms.listen, terms.limits.sockets, KEPT, PATIENCE, terms.names),
-                               boot, log)
+        descriptors = min(terms.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.front = RespFront(self.loop, RespTerms(*terms.listen, descriptors, KEPT, PATIENCE, terms.names), boot, log)
 
     def start(self) -> int:
         port = self.front.start()
--- a/hollyridge/resp/codec.py
+++ b/hollyridge/resp/codec.py
@@ -29,7 +29,7 @@
     hollyridge.resp.codec.RespError: no array of bulk strings
     """
 
-    __slots__ = ("most", "held", "parts", "left", "length", "size")
+    __slots__ = ("most", "held", "parts", "left", "length", "size", "fault")
 
     def __init__(self, most: int = MESSAGE_MOST) -> None:
         self.most = most
@@ -37,6 +37,7 @@
         self.parts: list[bytes] = []
         self.left = self.size = 0  # parts still to come of the message, its bytes so far
         self.length = -1  # of the part whose bytes come next
+        self.fault: RespError | None = None  # nothing more can be read, and why
 
     @property
     def partial(self) -> bool:
@@ -44,9 +45,20 @@
         return bool(self.held or self.left)
 
     def feed(self, chunk: bytes) -> list[list[bytes]]:
-        """The messages that end in this piece. RespError where nothing after it can be read; those before are lost
-        with it."""
+        """The messages that end in this piece, up to where nothing more can be read: that is in `fault` then, and
+        raised as RespError once no message comes before it."""
         messages: list[list[bytes]] = []
+        if self.fault is None:
+            try:
+                self.parse(chunk, messages)
+            except RespError as trouble:
+                self.fault = trouble
+                self.held.clear()
+        if self.fault is not None and not messages:
+            raise self.fault
+        return messages
+
+    def parse(self, chunk: bytes, messages: list[list[bytes]]) -> None:
         held = self.held
         held += chunk
         at, end = 0, len(held)
@@ -88,7 +100,6 @@
                 raise RespError(f"a message of more than {self.most} bytes")
             at = stop + 2
         del held[:at]
-        return messages
 
 
 def encode(words: Iterable[bytes]) -> bytes:
--- a/hollyridge/resp/front.py
+++ b/hollyridge/resp/front.py
@@ -13,7 +13,6 @@
 import gevent
 from gevent.event import Event
 from gevent.server import StreamServer
-from gevent.socket import wait_write
 
 from hollyridge import interface as api
 from hollyridge.core.loop import Loop
@@ -69,7 +68,7 @@
         self.terms, self.log = terms, log
         self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
         self.reading = words.Reading(terms.names, boot)
-        self.scribe = Scribe(lambda: self.machine.desk.store, terms.names.methods, self.name_of)
+        self.scribe = Scribe(terms.names.methods, self.name_of)
         proxies, zones = terms.names.proxies, len(terms.names.zones)
         self.room = max(16, terms.descriptors - terms.kept)  # connections in all
         self.lobby = Lobby(terms.patience, max(8, self.room - proxies - self.COLLECTORS * zones))
@@ -193,6 +192,8 @@
                 self.take(stream, message)
                 if stream.closed:
                     return
+            if reader.fault is not None:
+                raise reader.fault
             if stream.joined:
                 reader.most = MESSAGE_MOST
             gevent.sleep(0)  # however much one sends, others have their turn
@@ -306,10 +307,7 @@
     def flush(self, stream: Stream) -> None:
         try:
             while stream.unsent and not stream.closed:
-                wait_write(stream.sock.fileno())
-                if stream.closed:
-                    return
-                sent = os.write(stream.sock.fileno(), stream.unsent)
+                sent = stream.sock.send(stream.unsent)  # waits, and ends with an error when the socket is closed
                 self.counts["bytes_out"] += sent
                 stream.unsent = stream.unsent[sent:]
                 if not stream.unsent and stream.owed is not None:
--- a/hollyridge/resp/sheet.py
+++ b/hollyridge/resp/sheet.py
@@ -9,7 +9,7 @@
 from hollyridge.resp.codec import encode
 from hollyridge.resp.words import Part, order
 from hollyridge.steering.desk import Parcel
-from hollyridge.store.versions import Store, Table, difference
+from hollyridge.store.versions import Table, difference
 
 
 class Told(NamedTuple):
@@ -35,8 +35,8 @@
 
     MEMO = 64
 
-    def __init__(self, store: Callable[[], Store], methods: Sequence[str], name_of: Callable[[int], str]) -> None:
-        self.store, self.methods, self.name_of = store, tuple(methods), name_of
+    def __init__(self, methods: Sequence[str], name_of: Callable[[int], str]) -> None:
+        self.methods, self.name_of = tuple(methods), name_of
         self.memo: OrderedDict[tuple, tuple[Part, ...]] = OrderedDict()
         self.last: tuple[tuple, Told] | None = None
 
--- a/hollyridge/roster/watch.py
+++ b/hollyridge/roster/watch.py
@@ -44,7 +44,9 @@
     def drop(self, why: str) -> None:
         if self.call is not None:
             self.why = why
-            self.call.kill()  # its end is told by `ended`
+            self.call.kill()  # its end is told by `ended`, unless it had not begun
+            if self.call is not None:
+                self.ended()
 
     def run(self) -> None:
         """Blocks for good."""
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -69,6 +69,14 @@
             reader.feed(raw[at:at + 1])
 
 
+def test_what_comes_before_the_unreadable_counts():
+    reader = Reader()
+    assert reader.feed(encode([b"hb"]) + encode([b"done", b"x"]) + b"rubbish") == [[b"hb"], [b"done", b"x"]]
+    assert reader.fault is not None
+    with pytest.raises(RespError):
+        reader.feed(encode([b"hb"]))
+
+
 def said(kind, **fields):
     return READING.read([kind.encode(), *[str(part).encode() for pair in fields.items() for part in pair]])
 
@@ -132,7 +140,7 @@
 
     def __init__(self):
         self.store = Store(8)
-        self.scribe = Scribe(lambda: self.store, NAMES.methods, lambda task: f"s-{task}")
+        self.scribe = Scribe(NAMES.methods, lambda task: f"s-{task}")
         self.sheet = Sheet()
 
     def put(self, version, table=0, lines=(), levels=()):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -198,3 +198,18 @@
             gevent.sleep(0.005)
     job.kill()
     assert there.asked == [b"/v1/servers?stream=1&index=7"] and set(watch.listing.rows) == {"a", "b"}
+
+
+def test_a_move_before_a_call_has_begun_does_not_end_the_asking():
+    script = Script(chunked(line(4, ("a",))))
+    watch, machine = watch_of(script)
+    watch.caller.take(watch.clock(), Happened.TICK)
+    watch.caller.take(watch.clock(), Happened.DIALLED)
+    watch.call = gevent.spawn(watch.speak)  # has not run yet
+    watch.moved(watch.address)
+    assert watch.call is None and not watch.caller.calling
+    job = gevent.spawn(watch.run)
+    with gevent.Timeout(5):
+        while not any(type(one) is Heard for one in machine.told):
+            gevent.sleep(0.01)
+    job.kill()
