One piece each for streams of fronts, figures in bounds, addresses and rare log lines

Written again, now one piece: `core/streams.py` (listener, stop, close, end of a stream that a newer one replaced) under the SASP and the platform's front; `steering.members.figure` for the platform's figures too; `settings/address.split`, apart from pydantic, for the node's addresses; `worth_saying` for the six places that log at 1, 2, 4, 8; `machine.spread` for the three summaries of a histogram. At the wrong depth: the machine took SASP's terms and, beside them, a source; it is handed its source now by both programs. A move of discovery was finished from the socket's side by writing into `Caller`; the caller knows it now (its log line says 0 failures instead of 1). Faults of settings were joined to a text and split again; `TermsError.faults` carries them. `logs` moved from `cli/` to `core/`, so that the node imports nothing above it. Dead: `Told.lines`, `Listing.asked`, a branch of `HEARD` that could not differ, `RespFront.room`, a second `TASKS_MOST`.

--- a/hollyridge/benchlink/conf.py
+++ b/hollyridge/benchlink/conf.py
@@ -11,6 +11,14 @@
 ADMIT = {"off": Admission.OFF, "fraction": Admission.FRACTION, "per_second": Admission.PER_SECOND}
 
 
+class TermsError(WireError):
+    """Settings that can't be used; `faults`: what is wrong with them, each by its path."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
 def micros(seconds: float) -> int:
     return round(seconds * 1_000_000)
 
@@ -99,7 +107,7 @@
 
 
 def bootstrap_of(values: dict[str, str]) -> Bootstrap:
-    """From values by path; unknown keys are skipped. WireError names each that is missing or odd."""
+    """From values by path; unknown keys are skipped. TermsError names each that is missing or odd."""
     text = _Text(values)
     own_zone = text.names("family_info.class_own_zone")
     methods = []
@@ -152,5 +160,5 @@
         cross_zone_price=text.number("tariffs.cross_zone", 0.0),
     )
     if text.faults:
-        raise WireError("; ".join(text.faults))
+        raise TermsError(text.faults)
     return boot
--- a/hollyridge/cli/main.py
+++ b/hollyridge/cli/main.py
@@ -8,7 +8,7 @@
 
 import click
 
-from hollyridge.cli import logs
+from hollyridge.core import logs
 from hollyridge.cli.fleet import fleet
 from hollyridge.cli.lab import lab
 from hollyridge.cli.solve import solve
--- a/hollyridge/clone/front.py
+++ b/hollyridge/clone/front.py
@@ -27,6 +27,7 @@
 from hollyridge.steering.desk import Abilities, Parcel
 from hollyridge.steering.doorkeeper import Bucket, Doorkeeper
 from hollyridge.steering.presence import Presence
+from hollyridge.steering.saying import worth_saying
 from hollyridge.store.versions import EMPTY, Table
 
 
@@ -164,7 +165,7 @@
 
     def bad(self, address: str, why: str) -> None:
         self.counts["bad"] += 1
-        if self.counts["bad"] & (self.counts["bad"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+        if worth_saying(self.counts["bad"]):
             self.log.warning("bad message", peer=address, why=why, times=self.counts["bad"])
 
     def asked(self, identity: bytes, subtree: str, address: str, user: str) -> None:
--- a/hollyridge/core/keeping.py
+++ b/hollyridge/core/keeping.py
@@ -10,6 +10,7 @@
 
 from hollyridge.core.loop import Loop
 from hollyridge.steering import memory
+from hollyridge.steering.saying import worth_saying
 from hollyridge.store import durable
 from hollyridge.store.durable import DurableError
 
@@ -79,7 +80,7 @@
             self.counts["written"] += 1
         except OSError as trouble:
             self.counts["failed"] += 1
-            if self.counts["failed"] & (self.counts["failed"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+            if worth_saying(self.counts["failed"]):
                 self.log.warning("not kept", file=str(self.terms.path), why=str(trouble), times=self.counts["failed"])
 
     def status(self) -> dict:
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -39,7 +39,6 @@
     most_rate: float
     news_lines: int
     events_most: int
-    members: members.Terms | None = None  # None: the list comes from elsewhere
 
 
 class Source(Protocol):
@@ -61,6 +60,12 @@
         """Counts for the status."""
 
 
+def spread(figures: HdrHistogram) -> dict[str, int]:
+    """For the status: median, 99th percentile and the most."""
+    return {"p50": figures.get_value_at_percentile(50), "p99": figures.get_value_at_percentile(99),
+            "max": figures.get_max_value()}
+
+
 class ModuleError(Exception):
     """The module failed too often to go on."""
 
@@ -73,17 +78,16 @@
 
 class Machine:
     """`make(bootstrap, seed)` builds the decision module: `rules.Assigner`, or a baseline of the laboratory. `source`:
-    where the list of tasks comes from, if not from SASP's registrations. `detail`: a log line for each decision."""
+    where the list of tasks comes from. `detail`: a log line for each decision."""
 
-    def __init__(self, boot: api.Bootstrap, seed: int, limits: Limits, now: int, log,
-                 make: Callable = Assigner, source: Source | None = None, detail: bool = True) -> None:
+    def __init__(self, boot: api.Bootstrap, seed: int, limits: Limits, source: Source, now: int, log,
+                 make: Callable = Assigner, detail: bool = True) -> None:
         self.boot, self.seed, self.limits, self.log, self.make = boot, seed, limits, log, make
         self.module = make(boot, seed)
         self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks,
                           lambda task: self.desk.names(task))
         self.proxies = Door(boot.drain_grace * 2, min(limits.most_proxies, 65535))
-        self.members: Source = source or members.Members(limits.members, now)
-        self.detail = detail
+        self.members, self.detail = source, detail
         self.news = News(limits.most_series, limits.most_series_each, limits.most_rate, limits.news_lines,
                          60 * boot.period)
         self.desk = Desk(len(boot.methods), Store(HISTORY))
@@ -302,12 +306,10 @@
 
     def status(self) -> dict:
         """Counts and levels for logs and the status page."""
-        took = self.latency
         figures = getattr(self.module, "figures", dict)()
         return {"at": self.ran_at, "module": figures, **self.counts, "refused": self.refused,
                 "waiting": round(self.channel.waiting), "waiting_most": self.channel.highest,
                 "merged": self.channel.merged, "over_limit": self.channel.over, "lost_lines": self.channel.lost_lines,
                 "proxies": len(self.fronts), "tasks": len(self.members.rows),
                 **self.members.figures(), "turned_down": self.news.turned_down,
-                "news_to_frame_us": {"p50": took.get_value_at_percentile(50),
-                                     "p99": took.get_value_at_percentile(99), "max": took.get_max_value()}}
+                "news_to_frame_us": spread(self.latency)}
--- a/hollyridge/node/__main__.py
+++ b/hollyridge/node/__main__.py
@@ -12,7 +12,7 @@
 
 import gevent  # noqa: E402
 
-from hollyridge.cli import logs  # noqa: E402
+from hollyridge.core import logs  # noqa: E402
 from hollyridge.core.machine import ModuleError  # noqa: E402
 from hollyridge.node.program import Program  # noqa: E402
 from hollyridge.node.terms import NodeError, read_file  # noqa: E402
--- a/hollyridge/node/program.py
+++ b/hollyridge/node/program.py
@@ -10,15 +10,15 @@
 import gevent
 
 from hollyridge.core.loop import Loop, monotonic_us
-from hollyridge.core.machine import Limits, Machine
+from hollyridge.core.machine import Limits, Machine, spread
 from hollyridge.node.terms import NodeError, NodeTerms
 from hollyridge.resp.front import RespFront, RespTerms
 from hollyridge.roster.caller import Caller
 from hollyridge.roster.listing import Heard, Listing
 from hollyridge.roster.watch import Watch
+from hollyridge.roster.words import TASKS_MOST
 
 KEPT = 24  # descriptors for what is not a connection of the front: logs, the hub, discovery, the listener
-TASKS_MOST = 20_000
 EVENTS_MOST = 20_000  # waiting for the module, past which reports give way
 BEAT = 2_000_000  # us: discovery writes an empty line as often as that
 PATIENCE = 2_000_000  # us to join: a second is the peer's by right, a close is due within three
@@ -37,7 +37,7 @@
         now = clock()
         listing = Listing(lambda name: self.machine.tasks.enter(self.machine.ran_at, name),
                           now - time.time_ns() // 1000)
-        self.machine = Machine(boot, terms.seed, limits, now, log, source=listing, detail=False)
+        self.machine = Machine(boot, terms.seed, limits, listing, now, log, detail=False)
         self.loop = Loop(self.machine, clock, terms.round_s)
         self.machine.happened(now, Heard(terms.known, stale=True))
         zones = {name: z for z, name in enumerate(terms.names.zones)}
@@ -79,10 +79,8 @@
             self.log.info("status", **self.status())
 
     def status(self) -> dict:
-        turns = self.loop.turns
         return {"core": self.machine.status(), "front": self.front.status(), "discovery": self.watch.status(),
-                "turn_us": [turns.get_value_at_percentile(50), turns.get_value_at_percentile(99),
-                            turns.get_max_value()],
+                "turn_us": list(spread(self.loop.turns).values()),
                 "cpu_s": round(time.process_time(), 2), "rss_mb": resident_mb()}
 
 
--- a/hollyridge/node/terms.py
+++ b/hollyridge/node/terms.py
@@ -9,11 +9,11 @@
 import msgspec
 from msgspec import Meta
 
-from hollyridge.benchlink.conf import bootstrap_of, flattened
-from hollyridge.benchlink.wire import WireError
+from hollyridge.benchlink.conf import TermsError, bootstrap_of, flattened
 from hollyridge.interface import Bootstrap
 from hollyridge.resp.words import Names
 from hollyridge.roster.words import News, Page, RosterError, read
+from hollyridge.settings.address import split
 
 CONFIG_MOST = 16 << 20  # bytes
 
@@ -61,12 +61,9 @@
     >>> faults = []; address("127.0.0.1:80", "listen", faults), address("x:1", "listen", faults), faults
     (('127.0.0.1', 80), ('', 0), ['listen is not an IP address with a port: x:1'])
     """
-    host, _, port = text.rpartition(":")
     try:
-        host = str(ipaddress.ip_address(host.strip("[]")))
-        if not 0 <= int(port) <= 65535:
-            raise ValueError
-        return host, int(port)
+        host, port = split(text)
+        return str(ipaddress.ip_address(host)), port  # spelt one way: a reload compares addresses
     except ValueError:
         faults.append(f"{what} is not an IP address with a port: {text[:60]}")
         return "", 0
@@ -101,8 +98,8 @@
     boot = None
     try:
         boot = bootstrap_of(values)
-    except WireError as trouble:
-        faults += str(trouble).split("; ")
+    except TermsError as trouble:
+        faults += trouble.faults
     names = names_of(document.settings, values, faults)
     known = News(-1, True, ())
     if document.known is not None:
--- a/hollyridge/peers/fleet.py
+++ b/hollyridge/peers/fleet.py
@@ -13,6 +13,7 @@
 from hollyridge.membership.words import Claimed, Facts, Learnt, Status
 from hollyridge.peers.codec import Guard, PeerError
 from hollyridge.steering import memory
+from hollyridge.steering.saying import worth_saying
 
 ROWS = 200  # proxies in one word about claims
 
@@ -119,7 +120,7 @@
             opened = self.guard.open(raw)
         except PeerError as trouble:
             self.counts["bad_packets"] += 1
-            if self.counts["bad_packets"] & (self.counts["bad_packets"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+            if worth_saying(self.counts["bad_packets"]):
                 self.log.warning("bad packet", peer=address, why=str(trouble), times=self.counts["bad_packets"])
             return
         if opened.answer is not None:
--- a/hollyridge/resp/front.py
+++ b/hollyridge/resp/front.py
@@ -5,22 +5,22 @@
 
 from __future__ import annotations
 
-import errno
 import os
 import socket as plain
 from typing import NamedTuple
 
 import gevent
 from gevent.event import Event
-from gevent.server import StreamServer
 
 from hollyridge import interface as api
 from hollyridge.core.loop import Loop
+from hollyridge.core.streams import StreamFront, lost
 from hollyridge.resp import words
 from hollyridge.resp.codec import MESSAGE_MOST, Reader, RespError, encode
 from hollyridge.resp.sheet import Scribe, Sheet
 from hollyridge.steering.desk import Abilities, Parcel, merged
 from hollyridge.steering.lobby import Lobby
+from hollyridge.steering.saying import worth_saying
 
 BEAT = encode([b"hb_ok"])
 STRANGERS_MOST = 4096  # bytes of a message from who has not joined
@@ -60,29 +60,25 @@
         return self.zone >= 0
 
 
-class RespFront:
+class RespFront(StreamFront):
     """Serves `terms` for the machine of `loop`."""
 
+    COLLECTORS = 2  # connections of one zone's: a new one may come before the old one is seen to end
+
     def __init__(self, loop: Loop, terms: RespTerms, boot: api.Bootstrap, log) -> None:
-        self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
-        self.terms, self.log = terms, log
+        super().__init__(loop, terms.host, terms.port)
+        self.log = log
         self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
         self.reading = words.Reading(terms.names, boot)
         self.scribe = Scribe(terms.names.methods, self.name_of)
         proxies, zones = terms.names.proxies, len(terms.names.zones)
-        self.room = max(16, terms.descriptors - terms.kept)  # connections in all
-        self.lobby = Lobby(terms.patience, max(8, self.room - proxies - self.COLLECTORS * zones))
-        self.streams: dict[int, Stream] = {}
-        self.by_proxy: dict[int, Stream] = {}
+        room = max(16, terms.descriptors - terms.kept)  # connections in all
+        self.lobby = Lobby(terms.patience, max(8, room - proxies - self.COLLECTORS * zones))
         self.collectors: dict[int, list[Stream]] = {}
-        self.number = 0
         self.came = Event()
         self.counts = dict.fromkeys(("connections", "messages_in", "bytes_out", "spoilt", "unreadable", "refused",
                                      "overdue", "merged", "slow"), 0)
         self.why: dict[str, int] = {}
-        self.server = StreamServer((terms.host, terms.port), self.serve, backlog=1024)
-
-    COLLECTORS = 2  # connections of one zone's: a new one may come before the old one is seen to end
 
     # Life.
 
@@ -92,19 +88,6 @@
         gevent.spawn(self.sweep)
         return self.server.server_port
 
-    def stop(self) -> None:
-        self.server.stop(timeout=0)
-        for stream in list(self.streams.values()):
-            self.close(stream, "the assigner stops")
-
-    def close(self, stream: Stream, why: str) -> None:
-        if not stream.closed:
-            stream.closed = why
-            try:
-                stream.sock.shutdown(plain.SHUT_RDWR)
-            except OSError:
-                pass
-
     def sweep(self) -> None:
         """Close who has not joined in time."""
         while True:
@@ -134,7 +117,7 @@
         if len(self.why) >= 256 and why not in self.why:
             why = "other"
         times = self.why[why] = self.why.get(why, 0) + 1
-        if times & (times - 1) == 0:
+        if worth_saying(times):
             self.log.warning("not taken", why=why, peer=stream.address[0], node=stream.node, times=times)
 
     def serve(self, sock, address: tuple) -> None:
@@ -150,7 +133,7 @@
             sock.setsockopt(plain.SOL_SOCKET, plain.SO_SNDBUF, SEND_BUFFER)
             self.read_on(stream)
         except OSError as trouble:
-            stream.closed = stream.closed or f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}"
+            stream.closed = stream.closed or lost(trouble)
         except RespError as trouble:
             self.counts["unreadable"] += 1
             self.tell(f"unreadable: {trouble}", stream)
@@ -168,14 +151,11 @@
 
     def end(self, stream: Stream) -> None:
         """Tell of the stream's end; an older stream of a proxy that has a newer one ends nothing."""
-        self.streams.pop(stream.number, None)
         self.lobby.left(stream.number)
         stream.owed, stream.unsent = None, b""
         if stream in self.collectors.get(stream.zone, ()):
             self.collectors[stream.zone].remove(stream)
-        if stream.proxy >= 0 and self.by_proxy.get(stream.proxy) is stream:
-            del self.by_proxy[stream.proxy]
-            self.machine.leave(self.clock(), stream.proxy)
+        if self.forget(self.clock(), stream):
             self.loop.nudge()
 
     # In.
@@ -284,7 +264,7 @@
             stream.owed = parcel if stream.owed is None else merged(stream.owed, parcel)
             self.counts["merged"] += 1
             return
-        self.send(stream, self.scribe.write(stream.sheet, parcel).data)
+        self.send(stream, self.scribe.write(stream.sheet, parcel))
 
     def send(self, stream: Stream, data: bytes) -> None:
         """Without waiting; what the other side does not take yet is sent by a greenlet of its own."""
@@ -312,7 +292,7 @@
                 stream.unsent = stream.unsent[sent:]
                 if not stream.unsent and stream.owed is not None:
                     parcel, stream.owed = stream.owed, None
-                    stream.unsent = self.scribe.write(stream.sheet, parcel).data
+                    stream.unsent = self.scribe.write(stream.sheet, parcel)
         except OSError:
             self.close(stream, "connection lost")
 
--- a/hollyridge/resp/sheet.py
+++ b/hollyridge/resp/sheet.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
 
 from hollyridge.resp.codec import encode
 from hollyridge.resp.words import Part, order
@@ -12,13 +11,6 @@
 from hollyridge.store.versions import Table, difference
 
 
-class Told(NamedTuple):
-    """A message ready to be written, and what the channel counts for it, its head and mark left out."""
-
-    data: bytes
-    lines: int
-
-
 class Sheet:
     """What a proxy holds by this stream: its table by method, and the value each table was told at."""
 
@@ -38,19 +30,18 @@
     def __init__(self, methods: Sequence[str], name_of: Callable[[int], str]) -> None:
         self.methods, self.name_of = tuple(methods), name_of
         self.memo: OrderedDict[tuple, tuple[Part, ...]] = OrderedDict()
-        self.last: tuple[tuple, Told] | None = None
+        self.last: tuple[tuple, bytes] = ((), b"")  # what the message written last was made of
 
     def lines(self, sheet: Sheet, parcel: Parcel) -> int:
         """What the channel counts for this message if it left now, and the sheet as it will be: for a sheet that runs
         ahead of what is written."""
         return sum(part.size for part in self.parts(sheet, parcel))
 
-    def write(self, sheet: Sheet, parcel: Parcel) -> Told:
-        parts = self.parts(sheet, parcel)
-        key = parts, parcel.mark
-        if self.last is None or self.last[0] != key:
-            data = b"".join(encode(message) for message in order(parts, parcel.mark))
-            self.last = key, Told(data, sum(part.size for part in parts))
+    def write(self, sheet: Sheet, parcel: Parcel) -> bytes:
+        """The message that brings the sheet's proxy up to date."""
+        key = self.parts(sheet, parcel), parcel.mark
+        if self.last[0] != key:
+            self.last = key, b"".join(encode(message) for message in order(*key))
         return self.last[1]
 
     def parts(self, sheet: Sheet, parcel: Parcel) -> tuple[Part, ...]:
--- a/hollyridge/resp/words.py
+++ b/hollyridge/resp/words.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from math import isfinite
 from typing import NamedTuple, Union
 
 from hollyridge.interface import Bootstrap
+from hollyridge.steering.members import figure
 
 RATE_MOST = 1e6  # RPCs a second that one figure can stand for
 SPAN_MOST = 600_000.0  # ms that a report may cover
@@ -78,14 +78,10 @@
 
 
 def number(fields: dict[bytes, bytes], name: bytes, most: float, least: float = 0.0) -> float:
-    raw = fields.get(name)
-    if raw is None:
+    if name not in fields:
         raise Spoilt(f"lacks {name.decode()}")
-    try:
-        value = float(raw) if len(raw) <= 32 else float("nan")
-    except ValueError:
-        value = float("nan")
-    if not least <= value <= most:  # nan neither
+    value = figure(fields, name, least, most) if len(fields[name]) <= 32 else None
+    if value is None:
         raise Spoilt(f"{name.decode()} is no sensible figure")
     return value
 
@@ -97,6 +93,11 @@
     return int(value)
 
 
+def most_in(span: float) -> float:
+    """RPCs that can be told of for so many milliseconds; for less than a second as for one."""
+    return RATE_MOST * max(span, 1000) / 1000
+
+
 def micros(milliseconds: float) -> int:
     return round(milliseconds * 1000)
 
@@ -134,7 +135,7 @@
 
     def met(self, fields: dict) -> Met:
         span = number(fields, b"interval", SPAN_MOST, 0.001)
-        tries = count(fields, b"total", RATE_MOST * max(span, 1000) / 1000)
+        tries = count(fields, b"total", most_in(span))
         bad = count(fields, b"errors", tries)
         # Where none was good there is no mean time to tell.
         took = number(fields, b"rtt", self.longest) if tries > bad or b"rtt" in fields else 0.0
@@ -150,20 +151,16 @@
             return ()
         told: dict[str, float] = {}
         for pair in raw.split(b","):
-            name, colon, value = pair.partition(b":")
-            try:
-                figure = float(value)
-            except ValueError:
-                figure = float("nan")
-            most = UTIL_MOST if name == b"util" else FIGURE_MOST
-            if not colon or not isfinite(figure) or not 0 <= figure <= most:
+            name, _, value = pair.partition(b":")
+            found = figure({name: value}, name, 0.0, UTIL_MOST if name == b"util" else FIGURE_MOST)
+            if found is None:
                 raise Spoilt("metrics has no sensible figure")
-            told[name.decode("utf-8", "replace")] = figure
+            told[name.decode("utf-8", "replace")] = found
         return tuple(told.get(name, -1.0) for name in self.loads)
 
     def offered(self, fields: dict) -> Offered:
         span = number(fields, b"interval", SPAN_MOST, 0.001)
-        most = RATE_MOST * max(span, 1000) / 1000
+        most = most_in(span)
         # Those that could not be served may have come in an earlier interval: there can be more of them than came.
         return Offered(self.node(fields), self.one_of(self.methods, fields, b"route"), count(fields, b"total", most),
                        count(fields, b"errors", most), micros(span))
--- a/hollyridge/roster/caller.py
+++ b/hollyridge/roster/caller.py
@@ -45,7 +45,8 @@
 
     def __init__(self, beat: int, rng: Random) -> None:
         self.beat, self.rng = beat, rng
-        self.calling, self.stands = False, False
+        self.calling = self.stands = False
+        self.moved = False  # while a call to the old address ends
         self.failures = 0
         self.next_at = 0  # when to dial, or when the call is lost
 
@@ -57,16 +58,17 @@
         elif what is Happened.LIST:
             self.stands, self.failures = True, 0
             self.next_at = now + round(SILENT * self.beat)
-        elif what is Happened.HEARD and self.calling:
-            self.next_at = max(self.next_at, now + round(SILENT * self.beat)) if self.stands else self.next_at
+        elif what is Happened.HEARD and self.stands:
+            self.next_at = now + round(SILENT * self.beat)
         elif what is Happened.ENDED:
             self.calling = self.stands = False
             pause = min(LONGEST, FIRST * 2 ** min(self.failures, 16)) * self.beat
             self.failures += 1
             self.next_at = now + round(pause * (0.5 + self.rng.random()))
+            if self.moved:  # it was ended by us: no failure, and nothing to wait for
+                self.moved, self.failures, self.next_at = False, 0, now
         elif what is Happened.MOVED:
-            self.failures = 0
-            self.next_at = now
+            self.failures, self.next_at, self.moved = 0, now, self.calling
             return Deed.DROP if self.calling else Deed.DIAL
         elif what is Happened.TICK and now >= self.next_at:
             return Deed.DROP if self.calling else Deed.DIAL
--- a/hollyridge/roster/listing.py
+++ b/hollyridge/roster/listing.py
@@ -11,7 +11,7 @@
 
 from hollyridge.interface import Listed, ListKind, RosterChange, TaskState
 from hollyridge.roster.words import Entry, News
-from hollyridge.steering.members import AskedAgain, Outcome
+from hollyridge.steering.members import Outcome
 
 
 class Heard(NamedTuple):
@@ -40,7 +40,7 @@
         self.enter, self.ahead = enter, ahead
         self.rows: dict[str, Row] = {}
         self.version = -1
-        self.asked = self.failed = self.older = self.too_many = self.starts = 0
+        self.failed = self.older = self.too_many = self.starts = 0
 
     def take(self, now: int, what: object) -> Outcome:
         if type(what) is Heard:
@@ -48,9 +48,7 @@
         if type(what) is CallFailed:
             self.failed += 1
             return Outcome(RosterChange(max(self.version, 0), ListKind.FAILED, ()))
-        if type(what) is AskedAgain:
-            self.asked += 1
-        return Outcome()
+        return Outcome()  # asked again: a watch stands or is dialled already
 
     def hear(self, now: int, what: Heard) -> Outcome:
         news = what.news
--- a/hollyridge/roster/watch.py
+++ b/hollyridge/roster/watch.py
@@ -11,6 +11,7 @@
 from hollyridge.roster.caller import CONNECT, Caller, Deed, Happened
 from hollyridge.roster.listing import CallFailed, Heard, Listing
 from hollyridge.roster.words import RosterError, read
+from hollyridge.steering.saying import worth_saying
 
 LINE_MOST = 8 << 20  # bytes of one line of a watch
 HEAD_MOST = 16384
@@ -38,7 +39,6 @@
         self.address = address
         if self.caller.take(self.clock(), Happened.MOVED) is Deed.DROP:
             self.drop("discovery has moved")
-            self.caller.failures, self.caller.next_at = 0, self.clock()
         self.stirred.set()
 
     def drop(self, why: str) -> None:
@@ -79,7 +79,7 @@
         now, self.call = self.clock(), None
         self.counts["ended"] += 1
         self.caller.take(now, Happened.ENDED)
-        if self.caller.failures & (self.caller.failures - 1) == 0:
+        if worth_saying(self.caller.failures):
             self.log.warning("discovery call ended", address=f"{self.address[0]}:{self.address[1]}", why=self.why,
                              version=self.listing.version, failures=self.caller.failures)
         self.machine.happened(now, CallFailed())
--- a/hollyridge/sasp/front.py
+++ b/hollyridge/sasp/front.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 import fcntl
 import socket as plain
 import struct
@@ -16,11 +15,10 @@
 from typing import NamedTuple
 
 import gevent
-
 from gevent.event import Event
-from gevent.server import StreamServer
 
 from hollyridge.core.loop import Loop
+from hollyridge.core.streams import StreamFront, lost
 from hollyridge.keys.tls import bearer_of
 from hollyridge.membership.owners import SendTo, Stale, Take
 from hollyridge.peers.fleet import Fleet
@@ -32,6 +30,7 @@
 from hollyridge.steering.desk import Abilities, Parcel
 from hollyridge.steering.doorkeeper import Bucket, Doorkeeper
 from hollyridge.steering.presence import Presence
+from hollyridge.steering.saying import worth_saying
 from hollyridge.store.versions import EMPTY, Table
 
 
@@ -96,7 +95,7 @@
 OPEN = Access(False, ())
 
 
-class SaspFront:
+class SaspFront(StreamFront):
     """Serves `terms` for the machine of `loop`. `zone_of(host)` is the zone of an address, -1 for none.
     `secure(sock)` makes an accepted socket a TLS one (OSError where that fails); `access`
     says what its bearer may. `fleet`: the assigners that share the proxies with this one."""
@@ -109,20 +108,16 @@
                  fleet: Fleet | None = None, zone_name: Callable[[int], str] = str) -> None:
         self.fleet, self.zone_name = fleet, zone_name
         self.access, self.secure = access, secure
-        self.loop, self.machine, self.clock = loop, loop.machine, loop.clock
+        super().__init__(loop, terms.host, terms.port)
         self.terms, self.presence, self.keeper, self.zone_of = terms, presence, keeper, zone_of
         self.log = log
         self.abilities = Abilities(levels=False, further_tries=False, withdrawals=False, receipts=True,
                                    groups=len(terms.groups))
-        self.streams: dict[int, Stream] = {}
-        self.by_proxy: dict[int, Stream] = {}
         self.bearers: dict[int, codec.Member] = {}  # task: its member
         self.agents: dict[tuple, bool] = {}
-        self.number = 0
         self.unsettled: dict[int, Stream] = {}
         self.counts = dict.fromkeys(
             ("connections", "refused", "frames_in", "frames_out", "bad_frames", "closed", "asked_too_often"), 0)
-        self.server = StreamServer((terms.host, terms.port), self.serve, backlog=1024)
 
     # Life.
 
@@ -133,19 +128,10 @@
         self.log.info("sasp listens", host=self.terms.host, port=self.server.server_port)
         return self.server.server_port
 
-    def stop(self) -> None:
-        self.server.stop(timeout=0)
-        for stream in list(self.streams.values()):
-            self.close(stream, "the assigner stops")
-
     def close(self, stream: Stream, why: str) -> None:
         if not stream.closed:
-            stream.closed = why
             self.counts["closed"] += 1
-            try:
-                stream.sock.shutdown(plain.SHUT_RDWR)
-            except OSError:
-                pass
+            super().close(stream, why)
             stream.due.set()
 
     def serve(self, sock, address: tuple) -> None:
@@ -153,7 +139,7 @@
         why = self.keeper.knock(now, address[0])
         if why:
             self.counts["refused"] += 1
-            if self.counts["refused"] & (self.counts["refused"] - 1) == 0:  # said at 1, 2, 4, 8 ...
+            if worth_saying(self.counts["refused"]):
                 self.log.warning("connection refused", peer=address[0], why=why, times=self.counts["refused"])
             sock.close()
             return
@@ -173,7 +159,7 @@
             writer = gevent.spawn(self.write_on, stream)
             self.read_on(stream)
         except OSError as trouble:
-            stream.closed = stream.closed or f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}"
+            stream.closed = stream.closed or lost(trouble)
         except codec.SaspError as trouble:
             self.counts["bad_frames"] += 1
             stream.closed = stream.closed or f"bad frame: {trouble}"
@@ -188,14 +174,10 @@
 
     def end(self, stream: Stream) -> None:
         now = self.clock()
-        self.streams.pop(stream.number, None)
         self.unsettled.pop(stream.number, None)
         self.presence.left(stream.number)
-        if stream.proxy >= 0 and self.by_proxy.get(stream.proxy) is stream:
-            del self.by_proxy[stream.proxy]
-            self.machine.leave(now, stream.proxy)
-            if self.fleet is not None:
-                self.fleet.ended(stream.uid)
+        if self.forget(now, stream) and self.fleet is not None:
+            self.fleet.ended(stream.uid)
         if stream.speaks_of_members:
             self.machine.happened(now, members.StreamLost(stream.number))
         self.log.info("stream ended", peer=stream.address[0], uid=stream.uid or None, why=stream.closed)
@@ -605,7 +587,7 @@
                         self.put(stream, frame)
                     stream.marks.extend((stream.sent, mark, at) for mark, at in marks)
         except OSError as trouble:
-            self.close(stream, f"connection lost: {errno.errorcode.get(trouble.errno, trouble)}")
+            self.close(stream, lost(trouble))
 
     def put(self, stream: Stream, frame: bytes) -> None:
         view = memoryview(frame)
--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -13,7 +13,7 @@
 from hollyridge.clone.front import CloneFront
 from hollyridge.core.keeping import Keeping
 from hollyridge.core.loop import Loop, monotonic_us
-from hollyridge.core.machine import Machine
+from hollyridge.core.machine import Machine, spread
 from hollyridge.core.solving import Solving
 from hollyridge.keys.curve import Curve
 from hollyridge.keys.tls import context_of, load, shake
@@ -29,6 +29,7 @@
 from hollyridge.solving.feed import fleet_of, without_the_gone
 from hollyridge.steering.access import Access
 from hollyridge.steering.doorkeeper import Doorkeeper
+from hollyridge.steering.members import Members
 from hollyridge.steering.presence import Presence
 
 
@@ -43,7 +44,9 @@
                  fresh: Callable[[int], bytes] = os.urandom, fleet: FleetTerms | None = None) -> None:
         self.terms, self.log = terms, log
         boot = terms.bootstrap()
-        self.machine = Machine(boot, terms.assigner.seed, terms.limits(), clock(), log, make)
+        now = clock()
+        members = Members(terms.members_terms(), now)
+        self.machine = Machine(boot, terms.assigner.seed, terms.limits(), members, now, log, make)
         self.loop = Loop(self.machine, clock)
         sasp, channel, names = terms.sasp, terms.channel, self.names()
         self.fleet = self.link = None
@@ -183,10 +186,7 @@
         solver = {"solver": self.solving.status()} if self.solving is not None else {}
         peers = {"peers": self.fleet.status()} if self.fleet is not None else {}
         kept = {"kept": self.keeping.status()} if self.keeping is not None else {}
-        turns = self.loop.turns
-        core = {**self.machine.status(), "turn_us": {"p50": turns.get_value_at_percentile(50),
-                                                     "p99": turns.get_value_at_percentile(99),
-                                                     "max": turns.get_max_value()}}
+        core = {**self.machine.status(), "turn_us": spread(self.loop.turns)}
         return {"core": core, **fronts, "otlp": self.intake.status(), **solver, **peers, **kept}
 
     def tell_status(self) -> None:
--- a/hollyridge/settings/assigner.py
+++ b/hollyridge/settings/assigner.py
@@ -24,6 +24,7 @@
 from hollyridge.settings.ini import SEVERAL, FaultsError, Section, check, read_file, words
 from hollyridge.steering.access import Bearer
 from hollyridge.steering.advice import shown_methods
+from hollyridge.settings.address import split
 from hollyridge.steering.members import Terms
 from hollyridge.steering.memory import fleet_of
 
@@ -209,23 +210,6 @@
 PICKS = {"random": api.Pick.RANDOM, "rotate": api.Pick.ROTATE, "p2c": api.Pick.P2C}
 
 
-def split(listen: str) -> tuple[str, int]:
-    """Host and port; ValueError if it is not `address:port`.
-
-    >>> split("127.0.0.1:3860"), split("[::1]:0")
-    (('127.0.0.1', 3860), ('::1', 0))
-    """
-    host, _, port = listen.rpartition(":")
-    host = host.strip("[]")
-    try:
-        ipaddress.ip_address(host)
-        if not 0 <= int(port) <= 65535:
-            raise ValueError
-    except ValueError:
-        raise ValueError("address:port is wanted") from None
-    return host, int(port)
-
-
 def fleet_key(path: Path) -> bytes:
     """OSError or ValueError where the file holds no key."""
     secret = bytes.fromhex(path.read_text())
@@ -283,13 +267,16 @@
             retry_default=0, per_try=1.0, partitions=0, one_owner=False,
             load_names=("util", "queue"), cross_zone_price=proxies.cross_zone_price)
 
+    def members_terms(self) -> Terms:
+        roster = self.roster
+        return Terms(micros(self.promises.warm_up_s), micros(roster.hold_own_s), micros(roster.hold_agent_s),
+                     micros(roster.settle_s), micros(roster.settle_most_s), self.proxies.tasks_most)
+
     def limits(self) -> Limits:
-        channel, otlp, roster = self.channel, self.otlp, self.roster
-        members = Terms(micros(self.promises.warm_up_s), micros(roster.hold_own_s), micros(roster.hold_agent_s),
-                        micros(roster.settle_s), micros(roster.settle_most_s), self.proxies.tasks_most)
+        channel, otlp = self.channel, self.otlp
         return Limits(channel.lines_per_s, channel.head_lines, channel.most_waiting,
                       2 * self.proxies.tasks_most, self.proxies.most, otlp.series_most, otlp.series_each,
-                      otlp.rate_most, otlp.lines_per_period, 8 * otlp.lines_per_period, members)
+                      otlp.rate_most, otlp.lines_per_period, 8 * otlp.lines_per_period)
 
     def solver_terms(self) -> SolverTerms | None:
         solver = self.solver
--- a/hollyridge/steering/members.py
+++ b/hollyridge/steering/members.py
@@ -15,9 +15,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import IntEnum
-from typing import NamedTuple, Union
+from typing import AnyStr, NamedTuple, Union
 
 from hollyridge.interface import Listed, ListKind, RosterChange, TaskState
 
@@ -112,8 +112,8 @@
     return dict(word.split("=", 1) for word in label.split() if "=" in word)
 
 
-def figure(words: dict[str, str], name: str, least: float, most: float) -> float | None:
-    """A number from a label within bounds; None for anything else.
+def figure(words: Mapping[AnyStr, AnyStr], name: AnyStr, least: float, most: float) -> float | None:
+    """A number from words by name within bounds; None for anything else.
 
     >>> figure({"up": "nan"}, "up", 0, 10), figure({"up": "3"}, "up", 0, 10)
     (None, 3.0)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -40,9 +40,9 @@
 class House:
     def __init__(self, make=Assigner, tasks=6, proxies=4, seed=7, **terms):
         boot = bootstrap(admission=api.Admission.SILENT, **terms)
-        limits = Limits(2000.0, 3.0, 4000.0, 1000, 100, 1000, 500, 1e6, 500, 4000, TERMS)
+        limits = Limits(2000.0, 3.0, 4000.0, 1000, 100, 1000, 500, 1e6, 500, 4000)
         self.now, self.front = START, Front()
-        self.machine = Machine(boot, seed, limits, START, structlog.get_logger(), make)
+        self.machine = Machine(boot, seed, limits, members.Members(TERMS, START), START, structlog.get_logger(), make)
         self.register({f"t{k}": ("run=a up=100", k % 2) for k in range(tasks)})
         self.proxies = [self.machine.join(self.now, self.front, f"gw-{k}", k % 2, 5.0) for k in range(proxies)]
         self.run(5)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -141,14 +141,14 @@
     def __init__(self):
         self.store = Store(8)
         self.scribe = Scribe(NAMES.methods, lambda task: f"s-{task}")
-        self.sheet = Sheet()
+        self.sheet, self.planned = Sheet(), Sheet()
 
     def put(self, version, table=0, lines=(), levels=()):
         return self.store.put(version, table, dict(lines), dict(levels))
 
     def told(self, *tables, binds=(), mark=-1, out=()):
         parcel = Parcel(3, 1, 0, binds, tuple(tables), (), mark, tuple(out))
-        data, lines = self.scribe.write(self.sheet, parcel)
+        lines, data = self.scribe.lines(self.planned, parcel), self.scribe.write(self.sheet, parcel)
         return [[part.decode() for part in one] for one in Reader().feed(data)], lines
 
 
@@ -220,7 +220,7 @@
         boot = bootstrap()
         listing = Listing(lambda name: self.machine.tasks.enter(START, name), 0)
         limits = Limits(boot.lines_per_s, boot.overhead, boot.most_waiting, 1000, 150, 0, 0, 0.0, 0, 1000)
-        self.machine = Machine(boot, 7, limits, START, structlog.get_logger(), source=listing)
+        self.machine = Machine(boot, 7, limits, listing, START, structlog.get_logger())
         self.tell(1, [f"s-{k}" for k in range(tasks)])
         self.loop = Loop(self.machine, clock=lambda: START)
         self.front = RespFront(self.loop, RespTerms("127.0.0.1", 0, 400, 24, 2 * SECOND, NAMES), boot,
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -213,3 +213,14 @@
         while not any(type(one) is Heard for one in machine.told):
             gevent.sleep(0.01)
     job.kill()
+
+
+def test_a_call_that_a_move_ended_is_no_failure():
+    caller = Caller(2 * SECOND, Random(5))
+    caller.take(0, Happened.DIALLED)
+    assert caller.take(SECOND, Happened.MOVED) is Deed.DROP
+    caller.take(SECOND + 7, Happened.ENDED)
+    assert caller.failures == 0 and caller.take(SECOND + 7, Happened.TICK) is Deed.DIAL
+    caller.take(SECOND + 7, Happened.DIALLED)
+    caller.take(SECOND + 9, Happened.ENDED)
+    assert caller.failures == 1 and caller.take(SECOND + 9, Happened.TICK) is Deed.NOTHING
