Levels are rates where the settings say so; a joined message's receipt proves no more than waits

The status lines say levels [1.0, 1.0, 1.0]: nothing was cut. So neither budgets, picks nor zones, but Levels.wanted, which sent the part that is let in (1.0) where the wire wants RPCs a second at each proxy: one RPC a second was let in. Now the rate that lets in that part of what comes, from what each proxy tells; those with most give way; all is let in above any rate. The cause: Channel.merge hands the newest mark to the message that waits first, its receipt then proves (Outbox.receipt) that all before that mark has left, while the same lines still wait for others; so the module filled a full channel. It is told what waits now (Waits), and a receipt can prove no more. Both tests fail without their mend (seen).

--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -225,6 +225,7 @@
         while self.wakes and self.wakes[0][0] <= now:
             events.append(api.Woke(heapq.heappop(self.wakes)[1]))
         events.sort(key=lambda event: 0 if type(event) is api.RosterChange else 1)  # stable: the rest as it came
+        events.append(api.Waits(self.channel.waiting))  # last: receipts of joined messages prove too much
         self.number += 1
         self.counts["events"] += len(events)
         try:
--- a/hollyridge/interface.py
+++ b/hollyridge/interface.py
@@ -149,6 +149,13 @@
     took: int
 
 
+class Waits(NamedTuple):
+    """What of the orders has not left yet, in lines, heads included: told last of an occasion by whoever keeps them
+    waiting, where what comes for a proxy joins the message that already waits for it. There receipts come early."""
+
+    lines: float
+
+
 class TrafficReport(NamedTuple):
     """What the proxies of a zone met at a task."""
 
@@ -216,7 +223,7 @@
 
 
 Event = Union[
-    RosterChange, Woke, ProbeResult, PeerMessage, Joined, Left, Receipt, TrafficReport, OfferedLoad,
+    RosterChange, Woke, ProbeResult, PeerMessage, Joined, Left, Receipt, Waits, TrafficReport, OfferedLoad,
     SliceLoad, SliceCharge, SliceLine, Proposal, Recalled,
 ]
 
--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -14,8 +14,8 @@
 
 from hollyridge.interface import (
     Admission, AskReceipt, Attach, Bootstrap, Event, Joined, Learnt, Left, ListKind, OfferedLoad, Order,
-    Proposal, PutLine, Recalled, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, WakeAt, Watch,
-    Woke,
+    Proposal, PutLine, Recalled, Receipt, RosterChange, SetLevel, TaskState, TrafficReport, Waits, WakeAt,
+    Watch, Woke,
 )
 
 HMAX = 0.2  # pushes a period in the long run
@@ -36,6 +36,7 @@
 LASTS = 3  # periods that a proposal of weights stands without another
 SLICES = 4  # tables that share out a zone's among many proxies that join at once
 PRIOR = 6.0  # tries' worth of trust in what the wider group shows
+NO_LIMIT = 65536.0  # RPCs a second at one proxy: where levels are rates none of them stands for all
 
 
 class Roster:
@@ -143,6 +144,11 @@
         part = self.boot.period / max(event.over, self.boot.period)
         rows[event.method] = event.rpcs * part, upto + event.over
 
+    def rates(self, zone_of: dict[int, int], zone: int, method: int) -> list[float]:
+        """RPCs of a method that come to each of a zone's proxies a second, as far as heard."""
+        rows = (rows.get(method) for proxy, rows in self.came.items() if zone_of.get(proxy) == zone)
+        return sorted(row[0] * 1e6 / self.boot.period for row in rows if row)
+
     def offered(self, proxy: int) -> float:
         return sum(rpcs for rpcs, _ in self.came.get(proxy, {}).values())
 
@@ -372,9 +378,15 @@
         return push
 
 
+def whole_level(boot: Bootstrap) -> float:
+    """The level that lets all in."""
+    return NO_LIMIT if boot.admission == Admission.PER_SECOND else 1.0
+
+
 class Levels:
     def __init__(self, boot: Bootstrap) -> None:
         self.off = boot.admission in (Admission.OFF, Admission.SILENT)
+        self.rated, self.whole = boot.admission == Admission.PER_SECOND, whole_level(boot)
         # The ways to try again: while all is well, and otherwise. A front may have no order for it.
         self.retry = (boot.retry_default,) * 2 if boot.admission == Admission.SILENT else (ON_PROOF, 0)
         self.open, self.cut_at = [1.0] * (boot.zones + 1), [0] * (boot.zones + 1)
@@ -395,10 +407,24 @@
             level = min(level + 0.15 * well, able) if level < able or busy else level + 0.03
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
-    def wanted(self, zone: int, calm: bool) -> dict[int, tuple[float, int]]:
-        """All methods alike. Further tries, however safe, feed a jam and pile up on whoever has room."""
-        part = max(1, round(20 * self.open[zone])) / 20
-        return dict.fromkeys(self.methods, (part, self.retry[not calm]))
+    def wanted(self, zone: int, calm: bool, sent: dict, est: Estimates, zone_of: dict[int, int]) -> dict:
+        """All methods alike: level and way to try again. Further tries, however safe, feed a jam and pile up on
+        whoever has room."""
+        part, retry = max(1, round(20 * self.open[zone])) / 20, self.retry[not calm]
+        if not self.rated or part >= 1.0:
+            return dict.fromkeys(self.methods, (self.whole if self.rated else part, retry))
+        return {k: (self.rate(part, est.rates(zone_of, zone, k), sent[k][0]), retry) for k in self.methods}
+
+    def rate(self, part: float, rates: list[float], before: float) -> float:
+        """The rate at each proxy that lets in this part of what comes to all of them: those to which most comes
+        give way. A move too small for a line leaves it as it was before."""
+        left, rate = part * sum(rates), self.whole
+        for n, least in enumerate(rates):
+            rate = left / (len(rates) - n)
+            if rate <= least:
+                break
+            left -= least
+        return before if abs(rate - before) <= STEP * before else rate
 
 
 class Outbox:
@@ -431,6 +457,10 @@
             part = min(1.0, len(self.told) / self.own)
             self.left = max(self.left, before + (self.sent - before) * part * (not self.messages))
 
+    def waits(self, lines: float) -> None:
+        """So much is known to wait: a receipt of what was joined to an earlier message proves no more has left."""
+        self.left = min(self.left, self.sent - lines)
+
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
         return self.sent - self.left >= times * self.usual
 
@@ -476,7 +506,7 @@
         every = range(boot.zones * (1 + SLICES) + 1)
         self.lines: list[dict[int, float]] = [{} for _ in every]
         self.caps: list[dict[int, float]] = [{} for _ in every]  # the cap each line went out with
-        self.levels = [{k: (1.0, boot.retry_default) for k in range(len(boot.methods))} for _ in every]
+        self.levels = [{k: (whole_level(boot), boot.retry_default) for k in range(len(boot.methods))} for _ in every]
         self.bound: list[list[int]] = [[] for _ in every]
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
@@ -575,6 +605,8 @@
                 self.listen(now, event)
             elif isinstance(event, Receipt):
                 self.outbox.receipt(now, event)
+            elif isinstance(event, Waits):
+                self.outbox.waits(event.lines)
             elif isinstance(event, Proposal) and event.zone < self.boot.zones:
                 self.solver.proposed[event.zone] = now + LASTS * self.boot.period, dict(event.weights)
             elif isinstance(event, Recalled):
@@ -722,7 +754,7 @@
             if not lines or any(i in before for i in lines):
                 moved += [i for i in away if i in part and i not in cold]
             moved = [i for i in moved if i not in gone]
-            wanted = self.levels.wanted(tables.zone_of(table), self.ramp.calm)
+            wanted = self.levels.wanted(tables.zone_of(table), self.ramp.calm, sent, self.est, tables.zone)
             levels = {k: level for k, level in wanted.items() if sent[k] != level}
             # Removals first, but a table's last lines with others; then the largest moves there is room for.
             room = box.spare(now, proxies, True)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -130,6 +130,24 @@
         return super().decide(now, events)
 
 
+class Listening(Assigner):
+    def decide(self, now, events):
+        self.heard = events
+        return super().decide(now, events)
+
+
+def test_the_module_is_told_last_what_waits_though_a_joined_message_tells_its_mark_early():
+    house = House(Listening, lines_per_s=40.0)
+    house.machine.channel.per_line = 1e6 / 40  # a channel so slow that every message waits and is joined to
+    for k in range(3):
+        house.machine.happened(house.now, Quiesced(1, (f"t{k}",), True))
+        house.run(0.3)
+        heard, waits = house.machine.module.heard, house.machine.channel.waiting
+        assert type(heard[-1]) is api.Waits and sum(type(event) is api.Waits for event in heard) == 1
+        assert house.machine.module.outbox.sent - house.machine.module.outbox.left >= heard[-1].lines - 1e-6
+    assert house.machine.channel.merged > 0 and waits > 0
+
+
 def test_a_failure_of_the_module_is_told_and_outlived():
     house = House(Flaky)
     held = house.held()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from helpers import SECOND, START, Rig, bootstrap, entry, lines, method, roster
 
 from hollyridge import interface as api
-from hollyridge.rules import HMAX, STEP, Assigner, Estimates, Gate, Outbox, Ramp, Roster
+from hollyridge.rules import HMAX, NO_LIMIT, STEP, Assigner, Estimates, Gate, Levels, Outbox, Ramp, Roster
 
 READY, DRAINING, GONE = api.TaskState.READY, api.TaskState.DRAINING, api.TaskState.GONE
 
@@ -180,6 +180,34 @@
     assert seen == sorted(seen) and seen[-1] == 1.0
 
 
+@pytest.mark.parametrize("part, rates, level", [
+    (0.5, [10.0, 10.0], 5.0), (0.5, [2.0, 18.0], 8.0), (0.9, [1.0, 1.0, 98.0], 88.0), (0.5, [], NO_LIMIT)])
+def test_where_levels_are_rates_the_part_let_in_is_shared_out_and_those_with_most_give_way(part, rates, level):
+    levels = Levels(bootstrap(admission=api.Admission.PER_SECOND))
+    assert levels.rate(part, rates, NO_LIMIT) == pytest.approx(level)
+    assert sum(min(rate, levels.rate(part, rates, 1e9)) for rate in rates) == pytest.approx(part * sum(rates))
+    assert levels.rate(part, rates, level * 1.05) == level * 1.05  # hardly a move: no line for it
+
+
+def test_where_levels_are_rates_a_calm_day_lets_all_in_and_a_jam_its_part_of_what_comes():
+    """A part sent as a rate let one RPC a second in at each proxy, on every day of such a deployment."""
+    rig = Rig(admission=api.Admission.PER_SECOND)
+
+    def step(bad, util, came=40):
+        rig.period(*[rig.met(z, i, bad=bad)._replace(load=(util, 0.0)) for z in (0, 1) for i in range(8)],
+                   *[api.OfferedLoad(came, SECOND, p, k, 0) for p in range(4) for k in (0, 1)])
+    for _ in range(4):
+        step(0, 0.5)
+        assert all(amount == NO_LIMIT for amount, _ in rig.levels.values())
+    for _ in range(4):
+        step(8, 1.0)
+    cut = [amount for (table, _), (amount, _) in rig.levels.items() if table < 2]  # of zones
+    assert len(cut) == 4 and all(2.0 <= amount <= 20.0 for amount in cut)  # of 40 a second at each proxy
+    for _ in range(30):
+        step(0, 0.5)
+    assert {amount for amount, _ in rig.levels.values()} == {NO_LIMIT}
+
+
 @pytest.mark.parametrize("bad, least, most", [(3, 0.6, 1.0), (5, 0.4, 0.7), (10, 0.0, 0.3)])
 def test_the_first_cut_is_as_deep_as_tries_end_badly(bad, least, most):
     """A jam that is cut by half only goes on serving what has run out of time, until the next cut can show."""
@@ -271,6 +299,19 @@
     assert box.sent == box.left
 
 
+def test_a_receipt_of_a_message_that_others_were_joined_to_proves_no_more_than_waits():
+    box = Outbox(bootstrap())
+    for proxy in range(3):
+        box.book(START, [proxy], 96)
+        (order,) = box.stamp(box.sent - 100)
+    box.receipt(START, api.Receipt(0, order.mark, SECOND // 5))
+    assert box.sent - box.left == 0  # as it would be if all before that mark had left
+    box.waits(150.0)
+    assert box.sent - box.left == 150.0
+    box.waits(50.0)  # less waits than was known: that is for receipts to prove
+    assert box.sent - box.left == 150.0
+
+
 def test_a_reply_that_fills_the_channel_holds_pushes_until_it_is_told_to_have_left_and_no_longer():
     """150 proxies on one assigner: one reply was more than may wait, and nothing came after it for 7.5 s."""
     box, proxies = Outbox(bootstrap()), list(range(150))
