--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -394,7 +394,7 @@
         most = max(m.criticality for m in boot.methods)
         # The table of methods: which give way to others where nothing can be pushed back.
         self.methods = {k: self.off and m.criticality < most for k, m in enumerate(boot.methods)}
-        self.lean = sum(1 << k for k, gives_way in self.methods.items() if gives_way)
+        self.lean = sum(1 << k for k, way in self.methods.items() if way and not boot.methods[k].own_zone)
 
     def move(self, now: int, zone: int, stress: float, able: float, busy: bool) -> None:
         """Down to what the fleet is able to do while it is busy; further in a jam, but not again before that
@@ -443,6 +443,7 @@
         self.messages = self.own = 0  # booked since the last mark, and of the last mark's reply
         self.told: set[int] = set()  # who has told of that reply
         self.written: dict[int, deque[int]] = {}  # when each proxy was written to
+        self.reply, self.last = 0, dict[int, int]()  # number of this reply, and of the last to each proxy
 
     def drain(self, now: int) -> None:
         if now - self.heard > 4 * (self.boot.worst_transit + self.boot.period):  # all written to must be lost
@@ -476,19 +477,22 @@
             times = self.written.setdefault(proxy, deque())
             while times and times[0] < since:
                 times.popleft()
-            if len(times) + 1 > (0.95 if urgent else 0.6) * self.boot.messages_most:
+            if len(times) + (self.last.get(proxy) != self.reply) > (0.95 if urgent else 0.6) * self.boot.messages_most:
                 return 0
         waits = self.sent - self.left
         free = int((0.9 * self.boot.most_waiting - waits) / len(proxies) - self.boot.overhead - 1)
         return max(0, free if urgent else min(free, int((self.usual - waits) / len(proxies))))
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
-        self.sent += (lines + self.boot.overhead + 1) * len(proxies) * (lines > 0)
-        self.messages += len(proxies) * (lines > 0)
-        for proxy in proxies if lines and self.boot.messages_most > 0 else ():
+        fresh = [proxy for proxy in proxies if lines and self.last.get(proxy) != self.reply]  # one message each
+        self.sent += lines * len(proxies) + (self.boot.overhead + 1) * len(fresh)
+        self.messages += len(fresh)
+        self.last.update(dict.fromkeys(fresh, self.reply))
+        for proxy in fresh if self.boot.messages_most > 0 else ():
             self.written.setdefault(proxy, deque()).append(now)
 
     def stamp(self, already: float) -> list[Order]:
+        self.reply += 1
         if self.sent <= already:
             return []
         self.mark = (self.mark + 1) % 65536
@@ -499,11 +503,18 @@
 
 class Tables:
     """One shared table a zone, one for the excess of a jam, and slices of zones' tables for a wave of joins:
-    a small table at once serves better than a whole one too late; who uses them, what was last ordered."""
+    a small table at once serves better than a whole one too late; where some methods may go to tasks of the
+    proxy's zone only, a home table a zone for these; who uses them, what was last ordered."""
 
     def __init__(self, boot: Bootstrap) -> None:
         self.excess, self.standing = boot.zones, boot.initial_set
-        every = range(boot.zones * (1 + SLICES) + 1)
+        own = sum(1 << k for k, m in enumerate(boot.methods) if m.own_zone)
+        # Where all methods keep to their zone its one table does; else these, and the rest where there are such.
+        self.alone = own == (1 << len(boot.methods)) - 1
+        self.own = 0 if self.alone else own
+        self.rest = (1 << len(boot.methods)) - 1 - own if self.own else 0
+        self.homes = boot.zones * (1 + SLICES) + 1
+        every = range(self.homes + boot.zones * (self.own > 0))
         self.lines: list[dict[int, float]] = [{} for _ in every]
         self.caps: list[dict[int, float]] = [{} for _ in every]  # the cap each line went out with
         self.levels = [{k: (whole_level(boot), boot.retry_default) for k in range(len(boot.methods))} for _ in every]
@@ -514,6 +525,8 @@
         self.strain, self.parted, self.crowded, self.waiting = 0, False, False, 0
 
     def zone_of(self, table: int) -> int:  # of proxies that use it
+        if table >= self.homes:
+            return table - self.homes
         return table if table <= self.excess else (table - self.excess - 1) // SLICES
 
     def gather(self, usual: float) -> bool:
@@ -536,6 +549,8 @@
         self.zone[event.proxy] = event.zone
         self.rate[event.proxy] = event.rate if event.rate > 0 else 0.0
         self.joining.append((event.proxy, event.zone, 0))
+        if self.own:
+            self.joining.append((event.proxy, self.homes + event.zone, self.own))
         if self.parted:
             self.joining.append((event.proxy, self.excess, lean))
 
@@ -551,20 +566,20 @@
         over = not self.strain or bad < JAM / 5 * tried
         if lean and (over if self.parted else self.strain >= 2):
             self.parted, self.strain = not self.parted, 0
-            self.joining = [due for due in self.joining if due[2] == 0]
+            self.joining = [due for due in self.joining if due[2] in (0, self.own)]
             self.joining += [(p, self.excess if self.parted else z, lean) for p, z in self.zone.items()]
 
     def attach(self, now: int, box: Outbox, since: dict[int, int]) -> list[Order]:
         orders = []
         # Proxies without a table first, and past all that waits in time: what they hold may be gone.
-        for proxy, zone, methods in sorted(self.joining, key=lambda due: due[2] > 0):
+        for proxy, zone, methods in sorted(self.joining, key=lambda due: due[2] not in (0, self.own)):
             table = zone if methods else self.first_table(zone)
-            due = not methods and now - since[proxy] > box.boot.drain_grace / 4
+            due = methods in (0, self.own) and now - since[proxy] > box.boot.drain_grace / 4
             room = 0 if box.held(1 + due) or not self.lines[table] else box.spare(now, [proxy], True)
             if room >= self.size(table):
                 self.joining.remove((proxy, zone, methods))
                 orders.append(self.bind(now, box, proxy, table, methods))
-        for table in range(self.excess + 1, len(self.bound)):  # the wave is over: whole ones, with room
+        for table in range(self.excess + 1, self.homes):  # the wave is over: whole ones, with room
             for proxy in list(self.bound[table]):
                 zone = self.zone_of(table)
                 if self.joining or self.parted or box.spare(now, [proxy], False) < self.size(zone):
@@ -578,11 +593,11 @@
     def bind(self, now: int, box: Outbox, proxy: int, table: int, methods: int) -> Attach:
         for other, bound in enumerate(self.bound):
             leaves = other == self.excess if methods else other != self.excess
-            if proxy in bound and leaves and other != table:
+            if proxy in bound and leaves and other != table and max(other, table) < self.homes:
                 bound.remove(proxy)
         self.bound[table] += [proxy] * (proxy not in self.bound[table])
         box.book(now, [proxy], self.size(table))
-        return Attach(proxy, table, methods)
+        return Attach(proxy, table, methods or self.rest)
 
 
 class Assigner:
@@ -708,16 +723,18 @@
             sinks = [i for _, i in sorted(able)[:max(1, round(len(able) * LEAST_PART))]]
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
-        if table > tables.excess:
+        if tables.excess < table < tables.homes:
             lines, caps = self.wanted(tables.zone_of(table), part, zones)
             nth = (table - tables.excess - 1) % SLICES
             some = [i for i in lines if self.roster.rank[i] % SLICES == nth]
             if not any(part[i] >= 1.0 for i in some):
                 some = list(lines)
             return {i: lines[i] for i in some}, {i: caps[i] for i in some}
-        factor = self.health.factor[table]
-        lines = self.solver.weights(table, zones)
-        if self.solver.proposed[table][1]:  # of few lines: no cold one gets more than it would among all
+        zone = tables.zone_of(table)
+        factor, lines = self.health.factor[zone], self.solver.weights(zone, zones)
+        if tables.alone or table >= tables.homes:
+            lines = {i: w for i, w in lines.items() if self.roster.zone[i] == zone}
+        if self.solver.proposed[zone][1]:  # of few lines: no cold one gets more than it would among all
             even = sum(lines.values()) / sum(part.values())
             lines = {i: w if part[i] >= 1.0 else min(w / part[i], even) for i, w in lines.items()}
         lines = {i: w * factor[i] * (TRICKLE if i in sinks else 1.0) for i, w in lines.items()}
@@ -734,7 +751,7 @@
         orders, already, self.owed = [], box.sent, False
         crowd = tables.gather(box.usual)  # who waits for a table goes first
         for table, before in reversed(list(enumerate(tables.lines))):  # the excess of a jam first
-            if table > tables.excess and not tables.crowded and not tables.bound[table]:
+            if tables.excess < table < tables.homes and not tables.crowded and not tables.bound[table]:
                 continue
             lines, caps = self.wanted(table, part, zones)
             cap_before, proxies, sent = tables.caps[table], tables.bound[table], tables.levels[table]
@@ -755,7 +772,8 @@
                 moved += [i for i in away if i in part and i not in cold]
             moved = [i for i in moved if i not in gone]
             wanted = self.levels.wanted(tables.zone_of(table), self.ramp.calm, sent, self.est, tables.zone)
-            levels = {k: level for k, level in wanted.items() if sent[k] != level}
+            home = table >= tables.homes
+            levels = {k: v for k, v in wanted.items() if sent[k] != v and (tables.own >> k & 1) == home}
             # Removals first, but a table's last lines with others; then the largest moves there is room for.
             room = box.spare(now, proxies, True)
             free = max(0, box.spare(now, proxies, False) - len(gone))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -256,6 +256,59 @@
     assert rig.assigner.health.factor[1] == [1.0] * 8 and rig.share(1, 1) > rig.share(1, 0)
 
 
+HOMELY = method(own_zone=True, criticality=0.5)
+
+
+@pytest.mark.parametrize("admission", [api.Admission.FRACTION, api.Admission.OFF])
+@pytest.mark.parametrize("methods", [(method(), HOMELY), (HOMELY, HOMELY), (HOMELY, method(criticality=3.0), method())])
+def test_a_method_that_keeps_to_its_zone_is_never_told_of_a_task_elsewhere(methods, admission):
+    """Every table held tasks of all zones, whatever the method: a rule broken on every day of such a deployment."""
+    rig = Rig(methods=methods, admission=admission, tasks=12, proxies=6)
+    held: dict[int, dict[int, int]] = {}  # by proxy: table of each method
+    tables: dict[int, set[int]] = {}
+
+    def look():
+        for order in rig.orders:
+            if isinstance(order, api.PutLine):
+                lines = tables.setdefault(order.table, set())
+                (lines.add if order.weight > 0 else lines.discard)(order.task)
+            elif isinstance(order, api.Attach):
+                held.setdefault(order.proxy, {}).update(
+                    (k, order.table) for k in range(len(methods)) if not order.methods or order.methods >> k & 1)
+        for proxy, row in held.items():
+            for k, table in row.items():
+                ready = set(rig.assigner.roster.open())
+                assert not methods[k].own_zone or all(i % 2 == proxy % 2 for i in tables[table]), (proxy, k, table)
+                assert not any(i % 2 == proxy % 2 for i in ready) or tables[table]
+    look()
+    every = set(range(len(methods)))
+    assert {proxy: set(row) for proxy, row in held.items()} == dict.fromkeys(range(6), every)
+    for bad in (0, 0, 8, 8, 8, 8, 0, 0, 0, 0, 0, 0, 0):  # through a jam, in which lesser methods part
+        rig.period(*[rig.met(z, i, bad=bad) for z in (0, 1) for i in range(12)])
+        look()
+    changed = [entry(0, state=DRAINING), entry(3, state=GONE), entry(13, started_at=rig.now)]
+    rig.feed(roster(changed, api.ListKind.DELTA),
+             *[api.Joined(5.0, True, p, p % 2) for p in range(6, 40)], after=0.1)
+    for _ in range(12):
+        look()
+        rig.period(*[rig.met(z, i) for z in (0, 1) for i in range(14) if i not in (0, 3, 12)])
+    assert set(held) == set(range(40)) and all(set(row) == every for row in held.values())
+    assert not any({0, 3} & tables[table] for row in held.values() for table in row.values())
+    elsewhere = {i for row in held.values() for k, table in row.items() if not methods[k].own_zone
+                 for i in tables[table] if table == 0 and i % 2}
+    assert bool(elsewhere) is any(not m.own_zone for m in methods)  # the others go on reaching into other zones
+
+
+def test_what_one_reply_says_to_a_proxy_by_two_tables_is_one_message():
+    box = Outbox(bootstrap(messages_most=2))
+    for _ in range(2):
+        assert box.spare(START, [5], True) > 0
+        box.book(START, [5], 10)
+    assert box.sent == 2 * 10 + 3 + 1 and box.messages == 1  # one head, one mark
+    box.stamp(0.0)
+    assert box.spare(START, [5], True) == 0  # and at most 0.95 of two messages
+
+
 @pytest.mark.parametrize("repeat", list(api.Repeat))
 def test_no_way_to_try_again_repeats_an_effect(repeat):
     rig = Rig(methods=(method(repeat), method(repeat, api.Group.ZONE)))
