--- a/hollyridge/benchlink/link.py
+++ b/hollyridge/benchlink/link.py
@@ -1,4 +1,4 @@
-"""Batches in, replies out: one decision module for each instance, ids to indices at this door."""
+"""Batches in, replies out: one decision module for each instance, ids to dense indices here."""
 
 from __future__ import annotations
 
--- a/hollyridge/core/machine.py
+++ b/hollyridge/core/machine.py
@@ -21,7 +21,7 @@
 from hollyridge.steering import members
 from hollyridge.steering.channel import Channel
 from hollyridge.steering.desk import Desk
-from hollyridge.steering.door import Door
+from hollyridge.steering.indices import IndexAllocator
 from hollyridge.steering.news import News, Point
 from hollyridge.store.versions import Store
 
@@ -84,9 +84,9 @@
                  make: Callable = Assigner, detail: bool = True) -> None:
         self.boot, self.seed, self.limits, self.log, self.make = boot, seed, limits, log, make
         self.module = make(boot, seed)
-        self.tasks = Door(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks,
-                          lambda task: self.desk.names(task))
-        self.proxies = Door(boot.drain_grace * 2, min(limits.most_proxies, 65535))
+        self.tasks = IndexAllocator(max(boot.warm_up, boot.drain_grace) * 2, limits.most_tasks,
+                          lambda task: self.desk.names(task) or self.holds(task))
+        self.proxies = IndexAllocator(boot.drain_grace * 2, min(limits.most_proxies, 65535))
         self.members, self.detail = source, detail
         self.news = News(limits.most_series, limits.most_series_each, limits.most_rate, limits.news_lines,
                          60 * boot.period)
@@ -96,6 +96,7 @@
         self.places: dict[int, tuple[Hashable, int, float]] = {}  # proxy: name, zone, usual rate
         self.listed: dict[int, api.Listed] = {}
         self.heard: dict[int, int] = {}  # task: when news of it came last
+        self.holds: Callable[[int], bool] = lambda task: False  # may a front still say something of it?
         self.owned: Callable[[int, Hashable], bool] | None = None  # may this proxy be ordered now (a shared fleet)?
         self.inbox: deque[tuple[int, api.Event]] = deque()
         self.wakes: list[tuple[int, int]] = []
@@ -157,11 +158,15 @@
     def happened(self, now: int, what: object) -> members.Refusal | None:
         """Something about the list; why it was turned down, or None."""
         outcome = self.members.take(now, what)
-        for key in outcome.left:
-            self.tasks.leave(now, key)
         if outcome.change is not None:
             for entry in outcome.change.entries:
                 self.listed[entry.task] = entry
+        for key in outcome.left:  # what is known of an index goes with its bearer, whether its end was told or not
+            task = self.tasks.index.get(key)
+            self.listed.pop(task, None)
+            self.heard.pop(task, None)
+            self.tasks.leave(now, key)
+        if outcome.change is not None:
             self.log.info("list", version=outcome.change.version, entries=len(outcome.change.entries),
                           states=[(e.task, int(e.state)) for e in outcome.change.entries[:20]])
             self.tell(now, outcome.change)
--- a/hollyridge/node/__main__.py
+++ b/hollyridge/node/__main__.py
@@ -5,7 +5,8 @@
 import signal
 import sys
 
-signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the start is over must not end it
+early: list[int] = []  # SIGHUPs that came before the start was over: they must not end it, nor be lost
+signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
 
 import gc  # noqa: E402
 import os  # noqa: E402
@@ -40,6 +41,8 @@
     except OSError as trouble:
         print(f"hollyridge: cannot listen on {terms.listen[0]}:{terms.listen[1]}: {trouble}", file=sys.stderr)
         return 3
+    if early:
+        program.reload()
     gc.collect()
     gc.freeze()
     program.log.info("serves", listen=f"{terms.listen[0]}:{terms.listen[1]}", cores=terms.limits.cores,
--- a/hollyridge/node/program.py
+++ b/hollyridge/node/program.py
@@ -23,6 +23,7 @@
 BEAT = 2_000_000  # us: discovery writes an empty line as often as that
 PATIENCE = 2_000_000  # us to join: a second is the peer's by right, a close is due within three
 STATUS_S = 5.0
+REREADS = (0.1, 0.2, 0.4, 0.8)  # s between readings of a configuration that may be half replaced
 
 
 class Program:
@@ -31,6 +32,7 @@
 
     def __init__(self, terms: NodeTerms, log, read: Callable[[], NodeTerms], clock: Callable = monotonic_us) -> None:
         self.terms, self.log, self.read = terms, log, read
+        self.reloads = 0
         boot = terms.boot
         limits = Limits(boot.lines_per_s, boot.overhead, boot.most_waiting, TASKS_MOST, terms.names.proxies,
                         0, 0, 0.0, 0, EVENTS_MOST)
@@ -44,6 +46,7 @@
         self.watch = Watch(self.loop, listing, Caller(BEAT, Random(terms.seed ^ 1)), terms.discovery, zones, log)
         descriptors = min(terms.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.front = RespFront(self.loop, RespTerms(*terms.listen, descriptors, KEPT, PATIENCE, terms.names), boot, log)
+        self.machine.holds = self.front.holds
 
     def start(self) -> int:
         port = self.front.start()
@@ -59,11 +62,21 @@
 
     def reload(self) -> None:
         """Take a replaced configuration: the address of discovery at once; what needs a restart is named in the log.
-        A faulty one changes nothing."""
-        try:
-            terms = self.read()
-        except NodeError as trouble:
-            self.log.error("configuration not taken", faults=str(trouble).splitlines())
+        A faulty one changes nothing; it is read again a few times, for it may have been half replaced."""
+        self.reloads += 1
+        number, faults = self.reloads, ""
+        for pause in (*REREADS, 0):
+            try:
+                terms = self.read()
+                break
+            except NodeError as trouble:
+                if str(trouble) != faults:
+                    faults = str(trouble)
+                    self.log.error("configuration not taken", faults=faults.splitlines())
+            gevent.sleep(pause)
+            if number != self.reloads:  # a newer call reads it, and may have by now
+                return
+        else:
             return
         held = self.terms
         waits = [name for name in ("name", "listen", "limits", "values") if getattr(terms, name) != getattr(held, name)]
--- a/hollyridge/resp/front.py
+++ b/hollyridge/resp/front.py
@@ -19,7 +19,7 @@
 from hollyridge.resp.codec import MESSAGE_MOST, Reader, RespError, encode
 from hollyridge.resp.sheet import Scribe, Sheet
 from hollyridge.steering.desk import Abilities, Parcel, merged
-from hollyridge.steering.lobby import Lobby
+from hollyridge.steering.pending import PendingJoins
 from hollyridge.steering.saying import worth_saying
 
 BEAT = encode([b"hb_ok"])
@@ -27,6 +27,8 @@
 UNSENT_MOST = 65536  # bytes of answers to signs of life that a peer may leave unread
 CHUNK = 32768
 SEND_BUFFER = 32768
+PENDING_LEAST = 8  # connections that may wait to join however many have: `kept` descriptors leave room for them
+MARKS_MOST = 4096  # marks that one stream may owe an answer to
 
 
 class RespTerms(NamedTuple):
@@ -45,7 +47,7 @@
     """One connection, whoever is at its other end."""
 
     __slots__ = ("number", "sock", "address", "zone", "node", "proxy", "sheet", "planned", "unsent", "owed", "closed",
-                 "heard")
+                 "heard", "marks")
 
     def __init__(self, number: int, sock, address: tuple, now: int) -> None:
         self.number, self.sock, self.address, self.heard = number, sock, address, now
@@ -53,6 +55,7 @@
         self.sheet, self.planned = Sheet(), Sheet()  # as written, and as written once all that waits has left
         self.unsent = b""
         self.owed: Parcel | None = None
+        self.marks: dict[int, None] = {}  # written on this stream and not told of yet, oldest first
         self.closed = ""
 
     @property
@@ -71,13 +74,12 @@
         self.abilities = Abilities(levels=True, further_tries=True, withdrawals=True, receipts=True, groups=1)
         self.reading = words.Reading(terms.names, boot)
         self.scribe = Scribe(terms.names.methods, self.name_of)
-        proxies, zones = terms.names.proxies, len(terms.names.zones)
-        room = max(16, terms.descriptors - terms.kept)  # connections in all
-        self.lobby = Lobby(terms.patience, max(8, room - proxies - self.COLLECTORS * zones))
+        self.room = max(16, terms.descriptors - terms.kept)  # connections in all
+        self.pending = PendingJoins(terms.patience)
         self.collectors: dict[int, list[Stream]] = {}
         self.came = Event()
         self.counts = dict.fromkeys(("connections", "messages_in", "bytes_out", "spoilt", "unreadable", "refused",
-                                     "overdue", "merged", "slow"), 0)
+                                     "overdue", "merged", "slow", "stray_receipts"), 0)
         self.why: dict[str, int] = {}
 
     # Life.
@@ -91,13 +93,13 @@
     def sweep(self) -> None:
         """Close who has not joined in time."""
         while True:
-            at = self.lobby.next_at
+            at = self.pending.next_at
             if at is None:
                 self.came.clear()
                 self.came.wait()
                 continue
             gevent.sleep(max(0.01, (at - self.clock()) / 1e6))
-            for number in self.lobby.overdue(self.clock()):
+            for number in self.pending.overdue(self.clock()):
                 self.turn_out(number, "did not join in time")
 
     def turn_out(self, number: int, why: str) -> None:
@@ -125,7 +127,8 @@
         self.number += 1
         self.counts["connections"] += 1
         stream = self.streams[self.number] = Stream(self.number, sock, address, now)
-        for number in self.lobby.came(now, stream.number):
+        taken = len(self.streams) - 1 - len(self.pending.waiting)
+        for number in self.pending.came(now, stream.number, max(PENDING_LEAST, self.room - taken)):
             self.turn_out(number, "no room for more who have not joined")
         self.came.set()
         try:
@@ -151,7 +154,7 @@
 
     def end(self, stream: Stream) -> None:
         """Tell of the stream's end; an older stream of a proxy that has a newer one ends nothing."""
-        self.lobby.left(stream.number)
+        self.pending.left(stream.number)
         stream.owed, stream.unsent = None, b""
         if stream in self.collectors.get(stream.zone, ()):
             self.collectors[stream.zone].remove(stream)
@@ -167,6 +170,7 @@
             if not chunk or stream.closed:
                 return
             stream.heard = self.clock()
+            self.pending.spoke(stream.number)
             for message in reader.feed(chunk):
                 self.counts["messages_in"] += 1
                 self.take(stream, message)
@@ -204,7 +208,9 @@
         if stream.joined:
             raise words.Spoilt("joined already")
         now = self.clock()
-        self.lobby.left(stream.number)
+        if len(self.streams) - len(self.pending.waiting) >= self.room:  # it would take the last descriptors
+            raise words.Spoilt("no room for another stream")
+        self.pending.left(stream.number)
         proxy = self.machine.join(now, self, word.node, word.zone, word.rate, word.cold)
         if proxy is None:
             raise words.Spoilt("no room for another proxy")
@@ -215,7 +221,7 @@
     def collector(self, stream: Stream, word: words.Collector) -> None:
         if stream.joined:
             raise words.Spoilt("joined already")
-        self.lobby.left(stream.number)
+        self.pending.left(stream.number)
         stream.zone = word.zone
         row = self.collectors.setdefault(word.zone, [])
         row.append(stream)
@@ -242,8 +248,11 @@
                 machine.tell(now, api.OfferedLoad(word.rpcs, word.over, proxy, word.method, word.unanswered))
             elif stream.proxy < 0:
                 raise words.Spoilt("not for a collector to say")
-            else:
+            elif word.mark in stream.marks:
+                del stream.marks[word.mark]
                 machine.receipt(now, proxy, word.mark, word.took)
+            else:  # of an earlier stream, perhaps to an earlier process whose marks had the same numbers
+                self.counts["stray_receipts"] += 1
         self.loop.nudge()
 
     # Out.
@@ -264,7 +273,19 @@
             stream.owed = parcel if stream.owed is None else merged(stream.owed, parcel)
             self.counts["merged"] += 1
             return
-        self.send(stream, self.scribe.write(stream.sheet, parcel))
+        self.send(stream, self.written(stream, parcel))
+
+    def written(self, stream: Stream, parcel: Parcel) -> bytes:
+        if parcel.mark >= 0:
+            stream.marks[parcel.mark] = None
+            if len(stream.marks) > MARKS_MOST:
+                del stream.marks[next(iter(stream.marks))]
+        return self.scribe.write(stream.sheet, parcel)
+
+    def holds(self, task: int) -> bool:
+        """Whether a stream was told of this task last, however long it has taken nothing: its index is not free."""
+        tables = {id(table): table for stream in self.by_proxy.values() for table in stream.sheet.told.values()}
+        return any(task in table.lines for table in tables.values())
 
     def send(self, stream: Stream, data: bytes) -> None:
         """Without waiting; what the other side does not take yet is sent by a greenlet of its own."""
@@ -292,7 +313,7 @@
                 stream.unsent = stream.unsent[sent:]
                 if not stream.unsent and stream.owed is not None:
                     parcel, stream.owed = stream.owed, None
-                    stream.unsent = self.scribe.write(stream.sheet, parcel)
+                    stream.unsent = self.written(stream, parcel)
         except OSError:
             self.close(stream, "connection lost")
 
@@ -306,4 +327,4 @@
 
     def status(self) -> dict:
         return {**self.counts, "streams": len(self.streams), "proxies": len(self.by_proxy),
-                "waiting": len(self.lobby.waiting)}
+                "waiting": len(self.pending.waiting)}
--- a/hollyridge/roster/listing.py
+++ b/hollyridge/roster/listing.py
@@ -1,7 +1,10 @@
 """Which tasks are listed, from what discovery tells: versions that grow, starts on the monotonic clock. No I/O.
 
-Fulfils `core.machine.Source`. A list that is older than what is held changes nothing; starts are turned to the
-monotonic clock once, so that a task told of twice has started once.
+Fulfils `core.machine.Source`. Starts are turned to the monotonic clock once, so that a task told of twice has started
+once. A change that is older than what is held changes nothing. A whole list that is older may come from a copy that
+lags, and would bring back tasks that have left; or discovery counts anew, and nothing it says would be heard again. So
+it is kept up beside the list that is held, and taken in its place if after `TOLD` none as new as that has come: all
+that discovery has to tell counts as told by then. It may hurt where a copy lags by more than that.
 """
 
 from __future__ import annotations
@@ -11,7 +14,9 @@
 
 from hollyridge.interface import Listed, ListKind, RosterChange, TaskState
 from hollyridge.roster.words import Entry, News
-from hollyridge.steering.members import Outcome
+from hollyridge.steering.members import Outcome, Tick
+
+TOLD = 6_000_000  # us after which whatever discovery has to tell counts as told (the protocol page, Figures)
 
 
 class Heard(NamedTuple):
@@ -40,7 +45,9 @@
         self.enter, self.ahead = enter, ahead
         self.rows: dict[str, Row] = {}
         self.version = -1
-        self.failed = self.older = self.too_many = self.starts = 0
+        self.older_list: dict[str, Entry] | None = None  # a whole list with a lower version, kept up
+        self.older_version, self.older_since = -1, 0
+        self.failed = self.older = self.too_many = self.starts = self.counted_anew = 0
 
     def take(self, now: int, what: object) -> Outcome:
         if type(what) is Heard:
@@ -48,13 +55,41 @@
         if type(what) is CallFailed:
             self.failed += 1
             return Outcome(RosterChange(max(self.version, 0), ListKind.FAILED, ()))
+        if type(what) is Tick and self.older_list is not None and now >= self.older_since + TOLD:
+            return self.count_anew(now)
         return Outcome()  # asked again: a watch stands or is dialled already
 
+    def keep_older(self, now: int, news: News) -> Outcome:
+        """Something older than what is held."""
+        self.older += 1
+        if news.full:
+            if self.older_list is None:
+                self.older_since = now
+            self.older_list = {}
+        if self.older_list is not None and (news.full or news.version >= self.older_version):
+            self.older_version = news.version
+            for entry in news.entries:
+                if entry.state == TaskState.GONE:
+                    self.older_list.pop(entry.name, None)
+                else:
+                    self.older_list[entry.name] = entry
+        return Outcome()
+
+    def count_anew(self, now: int) -> Outcome:
+        """What was kept beside the list becomes the list."""
+        news = News(self.older_version, True, tuple(self.older_list.values()))
+        self.version, self.older_list = -1, None
+        self.counted_anew += 1
+        return self.hear(now, Heard(news))
+
     def hear(self, now: int, what: Heard) -> Outcome:
         news = what.news
         if news.version < self.version or not news.full and self.version < 0:
-            self.older += 1
-            return Outcome()
+            return self.keep_older(now, news)
+        if self.older_list is not None and not news.full:  # it follows the older list, and is no older than ours
+            self.keep_older(now, news)
+            return self.count_anew(now)
+        self.older_list = None
         if news.version == self.version and not news.full and not news.entries:
             return Outcome(RosterChange(self.version, ListKind.DELTA, ()))
         self.version = news.version
@@ -96,8 +131,8 @@
         return RosterChange(max(self.version, 0), kind, tuple(row.listed for row in self.rows.values()))
 
     def next_at(self, now: int) -> int | None:
-        return None
+        return None if self.older_list is None else self.older_since + TOLD
 
     def figures(self) -> dict[str, int]:
         return {"list_version": self.version, "list_calls_failed": self.failed, "older_lists": self.older,
-                "restarts": self.starts, "tasks_refused": self.too_many}
+                "counted_anew": self.counted_anew, "restarts": self.starts, "tasks_refused": self.too_many}
--- a/hollyridge/roster/watch.py
+++ b/hollyridge/roster/watch.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from hollyridge.core.loop import Loop
-from hollyridge.roster.caller import CONNECT, Caller, Deed, Happened
+from hollyridge.roster.caller import CONNECT, Caller, Action, Happened
 from hollyridge.roster.listing import CallFailed, Heard, Listing
 from hollyridge.roster.words import RosterError, read
 from hollyridge.steering.saying import worth_saying
@@ -37,27 +37,27 @@
     def moved(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere: it is asked there at once, from the version that is held."""
         self.address = address
-        if self.caller.take(self.clock(), Happened.MOVED) is Deed.DROP:
+        if self.caller.take(self.clock(), Happened.MOVED) is Action.DROP:
             self.drop("discovery has moved")
         self.stirred.set()
 
     def drop(self, why: str) -> None:
-        if self.call is not None:
+        call = self.call
+        if call is not None:
             self.why = why
-            self.call.kill()  # its end is told by `ended`, unless it had not begun
-            if self.call is not None:
-                self.ended()
+            call.kill()  # its end is told by itself, unless it had not begun
+            self.ended(call)
 
     def run(self) -> None:
         """Blocks for good."""
         while True:
             self.stirred.clear()
-            deed = self.caller.take(self.clock(), Happened.TICK)
-            if deed is Deed.DIAL:
+            action = self.caller.take(self.clock(), Happened.TICK)
+            if action is Action.DIAL:
                 self.caller.take(self.clock(), Happened.DIALLED)
                 self.counts["calls"] += 1
                 self.call = gevent.spawn(self.speak)
-            elif deed is Deed.DROP:
+            elif action is Action.DROP:
                 self.drop("no word in time")
             self.stirred.wait(max(0.005, (self.caller.next_at - self.clock()) / 1e6))
 
@@ -73,9 +73,12 @@
         finally:
             if sock is not None:
                 sock.close()
-            self.ended()
+            self.ended(gevent.getcurrent())
 
-    def ended(self) -> None:
+    def ended(self, call: gevent.Greenlet) -> None:
+        """Once a call: another may have been dialled since."""
+        if self.call is not call:
+            return
         now, self.call = self.clock(), None
         self.counts["ended"] += 1
         self.caller.take(now, Happened.ENDED)
@@ -122,7 +125,8 @@
         now = self.clock()
         if not line:
             self.counts["beats"] += 1
-            self.caller.take(now, Happened.LIST)
+            if self.caller.stands:  # before the first list it says only that somebody is there
+                self.caller.take(now, Happened.LIST)
             return
         try:
             news = read(line, self.zones)
--- a/hollyridge/steering/door.py
+++ b/hollyridge/steering/indices.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable, Hashable
 
 
-class Door:
+class IndexAllocator:
     """
-    >>> door = Door(rest=10, most=3)
-    >>> door.enter(0, "a"), door.enter(0, "b"), door.enter(0, "a")
+    >>> indices = IndexAllocator(rest=10, most=3)
+    >>> indices.enter(0, "a"), indices.enter(0, "b"), indices.enter(0, "a")
     (0, 1, 0)
-    >>> door.leave(5, "a"); door.enter(6, "c"), door.enter(15, "d")
+    >>> indices.leave(5, "a"); indices.enter(6, "c"), indices.enter(15, "d")
     (2, 0)
-    >>> door.enter(15, "e") is None
+    >>> indices.enter(15, "e") is None
     True
     """
 
--- a/hollyridge/steering/members.py
+++ b/hollyridge/steering/members.py
@@ -33,7 +33,7 @@
 
 
 class Applicant(NamedTuple):
-    """A member as a request names it: its key, its index and zone as found at the door (-1: not found)."""
+    """A member as a request names it: its key, its index and zone as allocated (-1: not found)."""
 
     key: tuple
     task: int
--- /dev/null
+++ b/tests/in_process.py
@@ -0,0 +1,132 @@
+"""Parts of the platform's assigner in this process, on loopback: a front with a machine, a watch and its discovery."""
+
+import json
+import socket
+import time
+from random import Random
+
+import gevent
+import structlog
+from gevent import socket as green
+from gevent.server import StreamServer
+from helpers import SECOND, START, bootstrap
+from stand_ins import page, server
+
+from hollyridge.core.loop import Loop
+from hollyridge.core.machine import Limits, Machine
+from hollyridge.resp import words
+from hollyridge.resp.codec import encode
+from hollyridge.resp.front import RespFront, RespTerms
+from hollyridge.roster.caller import Caller
+from hollyridge.roster.listing import Heard, Listing
+from hollyridge.roster.watch import Watch
+from hollyridge.roster.words import Entry, News
+from hollyridge.rules import Assigner
+from hollyridge.steering.indices import IndexAllocator
+
+NAMES = words.Names(("khalda", "sahab"), ("read-chapter", "redeem-code"), 150)
+ZONES = {"khalda": 0, "sahab": 1}
+
+
+class ListingDesk:
+    def __init__(self):
+        self.indices = IndexAllocator(SECOND, 100)
+        self.listing = Listing(lambda name: self.indices.enter(START, name), ahead=START - 50_000 * SECOND)
+
+    def take(self, what, now=START):
+        outcome = self.listing.take(now, what)
+        for name in outcome.left:
+            self.indices.leave(now, name)
+        return outcome.change
+
+
+class Hall:
+    """A front on loopback with a machine of its own, in this process."""
+
+    def __init__(self, tasks=6, descriptors=400, make=Assigner, **terms):
+        boot, self.now = bootstrap(**terms), START
+        listing = Listing(lambda name: self.machine.tasks.enter(self.now, name), 0)
+        limits = Limits(boot.lines_per_s, boot.overhead, boot.most_waiting, 1000, 150, 0, 0, 0.0, 0, 1000)
+        self.machine = Machine(boot, 7, limits, listing, START, structlog.get_logger(), make)
+        self.tell(1, [f"s-{k}" for k in range(tasks)])
+        self.loop = Loop(self.machine, clock=lambda: self.now)
+        self.front = RespFront(self.loop, RespTerms("127.0.0.1", 0, descriptors, 24, 2 * SECOND, NAMES), boot,
+                               structlog.get_logger())
+        self.machine.holds = self.front.holds
+        self.port = self.front.start()
+
+    def tell(self, version, names):
+        entries = tuple(Entry(name, k % 2, 0, 1, 1.0, 0.0) for k, name in enumerate(names))
+        self.machine.happened(self.now, Heard(News(version, True, entries), version == 1))
+
+    def proxy(self, node, buffer=0):
+        sock = green.socket()
+        if buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        sock.connect(("127.0.0.1", self.port))
+        joins = self.machine.counts["joins"]
+        sock.sendall(encode([b"attach", b"node", b"%d" % node, b"locality", b"khalda", b"w", b"5", b"cold", b"1"]))
+        self.until(lambda: self.machine.counts["joins"] > joins)
+        return sock
+
+    @staticmethod
+    def until(what):
+        with gevent.Timeout(5):
+            while not what():
+                gevent.sleep(0.002)
+
+
+class ToldMachine:
+    def __init__(self):
+        self.told = []
+
+    def happened(self, now, what):
+        self.told.append(what)
+
+
+class Script:
+    """A discovery that does as told with each connection: bytes, or a list of pieces with a pause behind each."""
+
+    PAUSE = 0.02
+
+    def __init__(self, *acts):
+        self.acts, self.asked = list(acts), []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def serve(self, sock, _):
+        self.asked.append(sock.recv(4096).split(b" ")[1])
+        act = self.acts.pop(0) if self.acts else b""
+        for piece in act if isinstance(act, list) else [act]:
+            if piece == "hang":
+                gevent.sleep(30)
+            else:
+                try:
+                    sock.sendall(piece)
+                except OSError:
+                    return
+                gevent.sleep(self.PAUSE if isinstance(act, list) else 0.05)
+
+
+def watch_of(script, beat=200_000):
+    machine, desk = ToldMachine(), ListingDesk()
+
+    class Loop:
+        clock = staticmethod(lambda: int(time.monotonic() * SECOND))
+
+        def nudge(self):
+            pass
+    loop = Loop()
+    loop.machine = machine
+    watch = Watch(loop, desk.listing, Caller(beat, Random(3)), ("127.0.0.1", script.server.server_port), ZONES,
+                  structlog.get_logger())
+    return watch, machine
+
+
+def chunked(*lines):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines)
+
+
+def line(version, *rows, full=True):
+    return json.dumps(page(version, [server(*row) for row in rows], full)).encode()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -186,7 +186,7 @@
 class Assigner:
     """A started `run` process on a configuration in `folder`."""
 
-    def __init__(self, folder, discovery, known=None, sockets=512, settings=SETTINGS, **more):
+    def __init__(self, folder, discovery, known=None, sockets=512, settings=SETTINGS, log=None, **more):
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1]
@@ -197,9 +197,14 @@
         if known is not None:
             self.document["known"] = known
         self.write(json.dumps(self.document))
-        self.log = (folder / "log").open("w+")
+        self.log = (folder / "log").open("w+") if log is None else log
+        self.start()
+
+    def start(self):
+        """The process, from what the configuration file holds now."""
         self.process = subprocess.Popen([sys.executable, "-m", "hollyridge.node"], cwd=ROOT, stderr=self.log,
                                         stdout=self.log, env={**os.environ, "BALANCER_CONFIG": str(self.path)})
+        return self.process
 
     def write(self, text):
         self.path.write_text(text)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -1,29 +1,22 @@
 """The platform's protocol: codec, words, what proxies are told, who is kept waiting."""
 
-import socket
 
 import gevent
 import pytest
-import structlog
 from gevent import socket as green
-from helpers import SECOND, bootstrap
+from helpers import SECOND, START, bootstrap
 from hypothesis import given
 from hypothesis import strategies as some
 from immutables import Map
+from in_process import NAMES, Hall
 
-from hollyridge.core.loop import Loop
-from hollyridge.core.machine import Limits, Machine
 from hollyridge.resp import codec, words
 from hollyridge.resp.codec import Reader, RespError, encode
-from hollyridge.resp.front import RespFront, RespTerms
 from hollyridge.resp.sheet import Scribe, Sheet
-from hollyridge.roster.listing import Heard, Listing
-from hollyridge.roster.words import Entry, News
 from hollyridge.steering.desk import Parcel
-from hollyridge.steering.lobby import Lobby
+from hollyridge.steering.pending import PendingJoins
 from hollyridge.store.versions import Store, Table
 
-NAMES = words.Names(("khalda", "sahab"), ("read-chapter", "redeem-code"), 150)
 READING = words.Reading(NAMES, bootstrap())
 
 
@@ -199,12 +192,23 @@
 
 
 def test_who_does_not_join_takes_no_place_for_long():
-    lobby = Lobby(patience=2 * SECOND, room=300)
-    closed = [number for at in range(500) for number in lobby.came(at, at)]
-    assert closed == list(range(200)) and len(lobby.waiting) == 300
-    lobby.left(499)
-    assert lobby.overdue(2 * SECOND + 250) == list(range(200, 251))
-    assert lobby.overdue(9 * SECOND)[-1] == 498 and lobby.next_at is None
+    pending = PendingJoins(patience=2 * SECOND)
+    closed = [number for at in range(500) for number in pending.came(at, at, 300)]
+    assert closed == list(range(200)) and len(pending.waiting) == 300
+    pending.left(499)
+    assert pending.overdue(2 * SECOND + 250) == list(range(200, 251))
+    assert pending.overdue(9 * SECOND)[-1] == 498 and pending.next_at is None and not pending.silent
+
+
+def test_who_has_begun_to_join_keeps_its_place_among_those_who_say_nothing():
+    pending = PendingJoins(patience=2 * SECOND)
+    pending.came(0, 0, 8)
+    pending.spoke(0)
+    assert [number for at in range(1, 300) for number in pending.came(at, at, 8)] == list(range(1, 293))
+    for at in range(300, 310):
+        pending.spoke(at - 1)
+        assert len(pending.came(at, at, 8)) == 1
+    assert pending.came(400, 400, 0) and len(pending.waiting) == 1  # no room at all is room for one
 
 
 def test_the_largest_message_is_within_the_platforms_limit():
@@ -213,42 +217,6 @@
     assert reader.feed(encode([b"assign", b"x" * (codec.MESSAGE_MOST - 40)]))
 
 
-class Hall:
-    """A front on loopback with a machine of its own, in this process."""
-
-    def __init__(self, tasks=6):
-        boot = bootstrap()
-        listing = Listing(lambda name: self.machine.tasks.enter(START, name), 0)
-        limits = Limits(boot.lines_per_s, boot.overhead, boot.most_waiting, 1000, 150, 0, 0, 0.0, 0, 1000)
-        self.machine = Machine(boot, 7, limits, listing, START, structlog.get_logger())
-        self.tell(1, [f"s-{k}" for k in range(tasks)])
-        self.loop = Loop(self.machine, clock=lambda: START)
-        self.front = RespFront(self.loop, RespTerms("127.0.0.1", 0, 400, 24, 2 * SECOND, NAMES), boot,
-                               structlog.get_logger())
-        self.port = self.front.start()
-
-    def tell(self, version, names):
-        entries = tuple(Entry(name, k % 2, 0, 1, 1.0, 0.0) for k, name in enumerate(names))
-        self.machine.happened(START, Heard(News(version, True, entries), version == 1))
-
-    def proxy(self, node, buffer=0):
-        sock = green.socket()
-        if buffer:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
-        sock.connect(("127.0.0.1", self.port))
-        sock.sendall(encode([b"attach", b"node", b"%d" % node, b"locality", b"khalda", b"w", b"5", b"cold", b"1"]))
-        self.until(lambda: node in self.machine.proxies.index and
-                   self.machine.proxies.index[node] in self.front.by_proxy)
-        return sock
-
-    @staticmethod
-    def until(what):
-        with gevent.Timeout(5):
-            while not what():
-                gevent.sleep(0.002)
-
-
-START = 1_000 * SECOND
 
 
 def test_a_reader_that_stands_still_is_owed_the_newest_state_only():
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,25 +1,18 @@
 """Discovery: lists read, versions and starts, when it is dialled, and a watch against a scripted stand-in."""
 
-import json
-import time
 from random import Random
 
 import gevent
 import pytest
-import structlog
-from gevent.server import StreamServer
 from helpers import SECOND
-from stand_ins import page, server
+from in_process import ZONES, ListingDesk, Script, chunked, line, watch_of
 
 from hollyridge.interface import ListKind, TaskState
 from hollyridge.roster import words
-from hollyridge.roster.caller import Caller, Deed, Happened
-from hollyridge.roster.listing import CallFailed, Heard, Listing
-from hollyridge.roster.watch import Watch
-from hollyridge.steering.door import Door
+from hollyridge.roster.caller import Action, Caller, Happened
+from hollyridge.roster.listing import CallFailed, Heard
 from hollyridge.steering.members import AskedAgain
 
-ZONES = {"khalda": 0, "sahab": 1}
 NOW = 1_000 * SECOND
 
 
@@ -31,20 +24,8 @@
 READY, DRAINING, GONE = TaskState.READY, TaskState.DRAINING, TaskState.GONE
 
 
-class Desk:
-    def __init__(self):
-        self.door = Door(SECOND, 100)
-        self.listing = Listing(lambda name: self.door.enter(NOW, name), ahead=NOW - 50_000 * SECOND)
-
-    def take(self, what, now=NOW):
-        outcome = self.listing.take(now, what)
-        for name in outcome.left:
-            self.door.leave(now, name)
-        return outcome.change
-
-
 def test_starts_are_turned_to_the_monotonic_clock_once():
-    desk = Desk()
+    desk = ListingDesk()
     change = desk.take(news(1, ("a", READY, 0), ("b", READY, 49_998_000), ("c", READY, 60_000_000), full=True))
     assert [entry.started_at for entry in change.entries] == [0, NOW - 2 * SECOND, NOW]
     later = desk.take(news(2, ("c", DRAINING, 60_000_000)), NOW + SECOND)
@@ -54,7 +35,7 @@
 
 
 def test_changes_and_whole_lists():
-    desk = Desk()
+    desk = ListingDesk()
     assert desk.take(Heard(news(5, ("a", READY, 0), ("b", READY, 0), full=True).news, stale=True)
                      ).kind == ListKind.CACHED
     change = desk.take(news(6, ("a", GONE, 0), ("never", GONE, 0)))
@@ -65,7 +46,7 @@
 
 
 def test_an_older_list_changes_nothing():
-    desk = Desk()
+    desk = ListingDesk()
     desk.take(news(9, ("a", READY, 0), full=True))
     for old in (news(8, ("a", GONE, 0)), news(3, full=True)):
         assert desk.take(old) is None
@@ -92,10 +73,10 @@
 def test_calls_that_fail_are_made_again_after_growing_pauses():
     caller, now, pauses = Caller(2 * SECOND, Random(5)), 0, []
     for _ in range(12):
-        assert caller.take(now, Happened.TICK) is Deed.DIAL
+        assert caller.take(now, Happened.TICK) is Action.DIAL
         caller.take(now, Happened.DIALLED)
         caller.take(now, Happened.ENDED)
-        assert caller.take(now, Happened.TICK) is Deed.NOTHING
+        assert caller.take(now, Happened.TICK) is Action.NOTHING
         pauses.append(caller.next_at - now)
         now = caller.next_at
     assert all(1 * SECOND <= pause <= 3 * SECOND for pause in pauses[5:]) and max(pauses[:1]) <= 0.3 * SECOND
@@ -107,61 +88,12 @@
     caller.take(0, Happened.DIALLED)
     for second in range(1, 20):
         caller.take(second * SECOND, Happened.LIST)
-        assert caller.take(second * SECOND + 1, Happened.TICK) is Deed.NOTHING
-    assert caller.take(22 * SECOND, Happened.TICK) is Deed.DROP
+        assert caller.take(second * SECOND + 1, Happened.TICK) is Action.NOTHING
+    assert caller.take(22 * SECOND, Happened.TICK) is Action.DROP
     caller.take(22 * SECOND, Happened.ENDED)
-    assert caller.take(22 * SECOND, Happened.MOVED) is Deed.DIAL
+    assert caller.take(22 * SECOND, Happened.MOVED) is Action.DIAL
     caller.take(22 * SECOND, Happened.DIALLED)
-    assert caller.take(22 * SECOND, Happened.MOVED) is Deed.DROP
-
-
-class Machine:
-    def __init__(self):
-        self.told = []
-
-    def happened(self, now, what):
-        self.told.append(what)
-
-
-class Script:
-    """A discovery that does as told with each connection."""
-
-    def __init__(self, *acts):
-        self.acts, self.asked = list(acts), []
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
-        self.server.start()
-
-    def serve(self, sock, _):
-        self.asked.append(sock.recv(4096).split(b" ")[1])
-        act = self.acts.pop(0) if self.acts else b""
-        if act == "hang":
-            gevent.sleep(30)
-        sock.sendall(act)
-        gevent.sleep(0.05)
-
-
-def watch_of(script, beat=200_000):
-    machine, desk = Machine(), Desk()
-
-    class Loop:
-        clock = staticmethod(lambda: int(time.monotonic() * SECOND))
-
-        def nudge(self):
-            pass
-    loop = Loop()
-    loop.machine = machine
-    watch = Watch(loop, desk.listing, Caller(beat, Random(3)), ("127.0.0.1", script.server.server_port), ZONES,
-                  structlog.get_logger())
-    return watch, machine
-
-
-def chunked(*lines):
-    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    return head + b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines)
-
-
-def line(version, *rows, full=True):
-    return json.dumps(page(version, [server(*row) for row in rows], full)).encode()
+    assert caller.take(22 * SECOND, Happened.MOVED) is Action.DROP
 
 
 ANSWERS = {
@@ -218,9 +150,9 @@
 def test_a_call_that_a_move_ended_is_no_failure():
     caller = Caller(2 * SECOND, Random(5))
     caller.take(0, Happened.DIALLED)
-    assert caller.take(SECOND, Happened.MOVED) is Deed.DROP
+    assert caller.take(SECOND, Happened.MOVED) is Action.DROP
     caller.take(SECOND + 7, Happened.ENDED)
-    assert caller.failures == 0 and caller.take(SECOND + 7, Happened.TICK) is Deed.DIAL
+    assert caller.failures == 0 and caller.take(SECOND + 7, Happened.TICK) is Action.DIAL
     caller.take(SECOND + 7, Happened.DIALLED)
     caller.take(SECOND + 9, Happened.ENDED)
-    assert caller.failures == 1 and caller.take(SECOND + 9, Happened.TICK) is Deed.NOTHING
+    assert caller.failures == 1 and caller.take(SECOND + 9, Happened.TICK) is Action.NOTHING
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,4 +1,4 @@
-"""The decisions around the module: channel, advice, desk, door, members, presence, news, doorkeeper."""
+"""The decisions around the module: channel, advice, desk, indices, members, presence, news, doorkeeper."""
 
 from random import Random
 
@@ -10,10 +10,17 @@
 from hollyridge.steering.advice import LEAST, MOST, GroupAdvice
 from hollyridge.steering.channel import Channel
 from hollyridge.steering.desk import Abilities, Desk, Parcel
-from hollyridge.steering.door import Door
 from hollyridge.steering.doorkeeper import Doorkeeper
+from hollyridge.steering.indices import IndexAllocator
 from hollyridge.steering.members import (
-    AskedAgain, Deregistered, Members, Quiesced, Refusal, Registered, StreamLost, Tick,
+    AskedAgain,
+    Deregistered,
+    Members,
+    Quiesced,
+    Refusal,
+    Registered,
+    StreamLost,
+    Tick,
 )
 from hollyridge.steering.news import SECOND as NS
 from hollyridge.steering.news import Kind, News, Point
@@ -205,24 +212,24 @@
 
 def test_weeks_of_tasks_do_not_grow_the_arrays():
     used = set()
-    door, now = Door(rest=100, most=200, still_used=used.__contains__), 0
+    indices, now = IndexAllocator(rest=100, most=200, still_used=used.__contains__), 0
     for week in range(2000):
-        at = door.enter(now, f"task-{week}")
-        assert at is not None and door.names[at] == f"task-{week}"
+        at = indices.enter(now, f"task-{week}")
+        assert at is not None and indices.names[at] == f"task-{week}"
         used = {at}
         now += 10
-        door.leave(now, f"task-{week}")
-    assert len(door.names) <= 13
+        indices.leave(now, f"task-{week}")
+    assert len(indices.names) <= 13
 
 
 def test_an_index_rests_while_an_order_may_name_it():
     used = {0}
-    door = Door(rest=10, most=5, still_used=lambda i: i in used)
-    door.enter(0, "a")
-    door.leave(0, "a")
-    assert door.enter(1000, "b") == 1
+    indices = IndexAllocator(rest=10, most=5, still_used=lambda i: i in used)
+    indices.enter(0, "a")
+    indices.leave(0, "a")
+    assert indices.enter(1000, "b") == 1
     used.clear()
-    assert door.enter(1000, "c") == 0
+    assert indices.enter(1000, "c") == 0
 
 
 # Members.
