--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -529,6 +529,9 @@
             return table - self.homes
         return table if table <= self.excess else (table - self.excess - 1) // SLICES
 
+    def serves(self, table: int, method: int) -> bool:
+        return self.excess < table < self.homes or (self.own >> method & 1) == (table >= self.homes)
+
     def gather(self, usual: float) -> bool:
         """Whether proxies wait for a table. They are a wave if, on top of as many that have one, so many come
         that the channel could not take a drain behind them; a start, where nobody has one, is none."""
@@ -576,15 +579,19 @@
             table = zone if methods else self.first_table(zone)
             due = methods in (0, self.own) and now - since[proxy] > box.boot.drain_grace / 4
             room = 0 if box.held(1 + due) or not self.lines[table] else box.spare(now, [proxy], True)
-            if room >= self.size(table):
+            if room >= self.size(table) and (proxy, zone, methods) in self.joining:
                 self.joining.remove((proxy, zone, methods))
+                if table != zone:  # a slice: of its home table where there is one
+                    self.joining = [due for due in self.joining if due != (proxy, self.homes + zone, self.own)]
                 orders.append(self.bind(now, box, proxy, table, methods))
         for table in range(self.excess + 1, self.homes):  # the wave is over: whole ones, with room
+            zone = self.zone_of(table)
+            whole = [(zone, 0)] + [(self.homes + zone, self.own)] * (self.own > 0)
+            size = sum(self.size(which) for which, _ in whole)
             for proxy in list(self.bound[table]):
-                zone = self.zone_of(table)
-                if self.joining or self.parted or box.spare(now, [proxy], False) < self.size(zone):
+                if self.joining or self.parted or box.spare(now, [proxy], False) < size:
                     return orders
-                orders.append(self.bind(now, box, proxy, zone, 0))
+                orders += [self.bind(now, box, proxy, *which) for which in whole]
         return orders
 
     def size(self, table: int) -> int:
@@ -597,7 +604,7 @@
                 bound.remove(proxy)
         self.bound[table] += [proxy] * (proxy not in self.bound[table])
         box.book(now, [proxy], self.size(table))
-        return Attach(proxy, table, methods or self.rest)
+        return Attach(proxy, table, methods or self.rest * (table <= self.excess))
 
 
 class Assigner:
@@ -724,7 +731,7 @@
         if table == tables.excess:
             return dict.fromkeys(sinks, 1.0), dict.fromkeys(sinks, 1.0)
         if tables.excess < table < tables.homes:
-            lines, caps = self.wanted(tables.zone_of(table), part, zones)
+            lines, caps = self.wanted(tables.zone_of(table) + tables.homes * (tables.own > 0), part, zones)
             nth = (table - tables.excess - 1) % SLICES
             some = [i for i in lines if self.roster.rank[i] % SLICES == nth]
             if not any(part[i] >= 1.0 for i in some):
@@ -772,8 +779,7 @@
                 moved += [i for i in away if i in part and i not in cold]
             moved = [i for i in moved if i not in gone]
             wanted = self.levels.wanted(tables.zone_of(table), self.ramp.calm, sent, self.est, tables.zone)
-            home = table >= tables.homes
-            levels = {k: v for k, v in wanted.items() if sent[k] != v and (tables.own >> k & 1) == home}
+            levels = {k: v for k, v in wanted.items() if sent[k] != v and tables.serves(table, k)}
             # Removals first, but a table's last lines with others; then the largest moves there is room for.
             room = box.spare(now, proxies, True)
             free = max(0, box.spare(now, proxies, False) - len(gone))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -584,6 +584,29 @@
     assert all(any(proxy in tables.bound[zone] for zone in (0, 1)) for proxy in given)
 
 
+def test_in_a_wave_of_joins_methods_that_keep_to_their_zone_cost_no_second_table():
+    """Slices of all zones and whole home tables for 187 joins held up the removals behind them past the grace."""
+    rig = Rig(tasks=96, proxies=24, lines_per_s=700.0, most_waiting=4000.0, methods=(method(), HOMELY))
+    for _ in range(12):
+        rig.period()
+    tables = rig.assigner.tables
+    orders = rig.feed(*[api.Joined(10.0, False, 100 + k, k % 2) for k in range(24)])
+    for _ in range(4):
+        orders += rig.feed(api.Woke(0), after=0.1)
+    first: dict[int, api.Attach] = {}
+    for order in orders:
+        if isinstance(order, api.Attach):
+            first.setdefault(order.proxy, order)
+    assert len(first) == 24 and all(tables.excess < o.table < tables.homes and o.methods == 0 for o in first.values())
+    assert all(i % 2 == proxy % 2 for proxy, o in first.items() for i in tables.lines[o.table])
+    assert max(len(tables.lines[o.table]) for o in first.values()) <= 48 / 4 + 1  # of 48 tasks a zone
+    for _ in range(16):
+        rig.period()
+    for proxy in first:
+        assert [table for table, bound in enumerate(tables.bound) if proxy in bound] == [
+            proxy % 2, tables.homes + proxy % 2]
+
+
 def test_a_start_is_no_wave():
     rig = Rig(tasks=96, proxies=24, lines_per_s=700.0, most_waiting=4000.0)
     assert not rig.assigner.tables.crowded
