What can wait fills two periods of the channel at most; a start beyond twice that gets slices

A probe of the terms: lines_per_s 2700, most_waiting 49700, drain_grace 19.9 s, and 'usual 24850': Outbox let what can wait fill 9 s of the channel, since a drain behind it was still in time, so every weight and level came 9 s late. Ruled out: levels (open till 15 s), CPU (0.28 of a core at most), merging. 331 whole tables of 90 lines at a start take 11 s more. Now what can wait fills two periods at most (an order older than that answers news that has been replaced); where the grace is 3 s nothing changes. A start whose tables come to twice that is a wave. The tests fail without it (seen).

--- a/hollyridge/rules.py
+++ b/hollyridge/rules.py
@@ -408,16 +408,16 @@
         self.open[zone] = 1.0 if self.off else min(1.0, max(0.1, level))
 
     def wanted(self, zone: int, calm: bool, sent: dict, est: Estimates, zone_of: dict[int, int]) -> dict:
-        """All methods alike: level and way to try again. Further tries, however safe, feed a jam and pile up on
-        whoever has room."""
+        """All methods alike: level and way to try again. Further tries, however safe, feed a jam and pile
+        up on whoever has room."""
         part, retry = max(1, round(20 * self.open[zone])) / 20, self.retry[not calm]
         if not self.rated or part >= 1.0:
             return dict.fromkeys(self.methods, (self.whole if self.rated else part, retry))
         return {k: (self.rate(part, est.rates(zone_of, zone, k), sent[k][0]), retry) for k in self.methods}
 
     def rate(self, part: float, rates: list[float], before: float) -> float:
-        """The rate at each proxy that lets in this part of what comes to all of them: those to which most comes
-        give way. A move too small for a line leaves it as it was before."""
+        """The rate at each proxy that lets in this part of what comes to all of them: those to which most
+        comes give way. A move too small for a line leaves it as it was before."""
         left, rate = part * sum(rates), self.whole
         for n, least in enumerate(rates):
             rate = left / (len(rates) - n)
@@ -436,9 +436,9 @@
         self.boot = boot
         self.sent = self.left = 0.0  # lines ever sent, and those proven to have left
         self.at = self.heard = self.mark = 0
-        # So far may what can wait fill the channel: a drain ordered behind it is still in time.
+        # So far may what can wait fill the channel: a drain behind it is in time, and it answers news of now.
         in_time = boot.lines_per_s * max(boot.drain_grace - boot.worst_transit, boot.transit) / 2e6
-        self.usual = min(boot.most_waiting / 2, in_time)
+        self.usual = min(boot.most_waiting / 2, in_time, 2 * boot.period * boot.lines_per_s / 1e6)
         self.marks: dict[int, float] = {}  # lines sent before each mark's reply
         self.messages = self.own = 0  # booked since the last mark, and of the last mark's reply
         self.told: set[int] = set()  # who has told of that reply
@@ -459,7 +459,7 @@
             self.left = max(self.left, before + (self.sent - before) * part * (not self.messages))
 
     def waits(self, lines: float) -> None:
-        """So much is known to wait: a receipt of what was joined to an earlier message proves no more has left."""
+        """So much is known to wait: a receipt of what was joined to an earlier message proves no more."""
         self.left = min(self.left, self.sent - lines)
 
     def held(self, times: int = 1) -> bool:  # what can wait is held while half the backlog waits
@@ -477,14 +477,15 @@
             times = self.written.setdefault(proxy, deque())
             while times and times[0] < since:
                 times.popleft()
-            if len(times) + (self.last.get(proxy) != self.reply) > (0.95 if urgent else 0.6) * self.boot.messages_most:
+            part = 0.95 if urgent else 0.6
+            if len(times) + (self.last.get(proxy) != self.reply) > part * self.boot.messages_most:
                 return 0
         waits = self.sent - self.left
         free = int((0.9 * self.boot.most_waiting - waits) / len(proxies) - self.boot.overhead - 1)
         return max(0, free if urgent else min(free, int((self.usual - waits) / len(proxies))))
 
     def book(self, now: int, proxies: list[int], lines: int) -> None:
-        fresh = [proxy for proxy in proxies if lines and self.last.get(proxy) != self.reply]  # one message each
+        fresh = [proxy for proxy in proxies if lines and self.last.get(proxy) != self.reply]
         self.sent += lines * len(proxies) + (self.boot.overhead + 1) * len(fresh)
         self.messages += len(fresh)
         self.last.update(dict.fromkeys(fresh, self.reply))
@@ -509,15 +510,15 @@
     def __init__(self, boot: Bootstrap) -> None:
         self.excess, self.standing = boot.zones, boot.initial_set
         own = sum(1 << k for k, m in enumerate(boot.methods) if m.own_zone)
-        # Where all methods keep to their zone its one table does; else these, and the rest where there are such.
+        # Where all methods keep to their zone its one table does; else these methods, and all the rest.
         self.alone = own == (1 << len(boot.methods)) - 1
-        self.own = 0 if self.alone else own
-        self.rest = (1 << len(boot.methods)) - 1 - own if self.own else 0
+        self.own, self.rest = (0, 0) if self.alone or not own else (own, (1 << len(boot.methods)) - 1 - own)
         self.homes = boot.zones * (1 + SLICES) + 1
         every = range(self.homes + boot.zones * (self.own > 0))
         self.lines: list[dict[int, float]] = [{} for _ in every]
         self.caps: list[dict[int, float]] = [{} for _ in every]  # the cap each line went out with
-        self.levels = [{k: (whole_level(boot), boot.retry_default) for k in range(len(boot.methods))} for _ in every]
+        usual = dict.fromkeys(range(len(boot.methods)), (whole_level(boot), boot.retry_default))
+        self.levels = [dict(usual) for _ in every]
         self.bound: list[list[int]] = [[] for _ in every]
         self.joining: list[tuple[int, int, int]] = []  # proxies to be put on a table, for which methods
         self.zone: dict[int, int] = {}  # of each joined proxy
@@ -525,21 +526,20 @@
         self.strain, self.parted, self.crowded, self.waiting = 0, False, False, 0
 
     def zone_of(self, table: int) -> int:  # of proxies that use it
-        if table >= self.homes:
-            return table - self.homes
-        return table if table <= self.excess else (table - self.excess - 1) // SLICES
+        part = (table - self.excess - 1) // SLICES  # a slice of whose
+        return table if table <= self.excess else part if table < self.homes else table - self.homes
 
     def serves(self, table: int, method: int) -> bool:
         return self.excess < table < self.homes or (self.own >> method & 1) == (table >= self.homes)
 
     def gather(self, usual: float) -> bool:
         """Whether proxies wait for a table. They are a wave if, on top of as many that have one, so many come
-        that the channel could not take a drain behind them; a start, where nobody has one, is none."""
+        that the channel could not take a drain behind them; a start, where nobody has one, at twice that."""
         due = [zone for _, zone, methods in self.joining if not methods]
         least = SLICES * max(2, self.standing)
         lines = sum(len(self.lines[zone]) for zone in due if len(self.lines[zone]) >= least)
         if len(due) > self.waiting:
-            self.crowded = self.crowded or lines > usual and len(due) <= sum(map(len, self.bound))
+            self.crowded = self.crowded or lines > usual * (1 + (len(due) > sum(map(len, self.bound))))
         self.crowded, self.waiting = self.crowded and lines > usual / 2, len(due)
         return bool(due)
 
@@ -582,7 +582,8 @@
             if room >= self.size(table) and (proxy, zone, methods) in self.joining:
                 self.joining.remove((proxy, zone, methods))
                 if table != zone:  # a slice: of its home table where there is one
-                    self.joining = [due for due in self.joining if due != (proxy, self.homes + zone, self.own)]
+                    second = proxy, self.homes + zone, self.own
+                    self.joining = [due for due in self.joining if due != second]
                 orders.append(self.bind(now, box, proxy, table, methods))
         for table in range(self.excess + 1, self.homes):  # the wave is over: whole ones, with room
             zone = self.zone_of(table)
@@ -784,8 +785,7 @@
             room = box.spare(now, proxies, True)
             free = max(0, box.spare(now, proxies, False) - len(gone))
             unlisted = [i for i in away if i in cold and i not in gone]  # first of all that can wait
-            self.owed = self.owed or len(unlisted) > free
-            gone += unlisted[:free]
+            self.owed, gone = self.owed or len(unlisted) > free, gone + unlisted[:free]
             spare = 0 if proxies and crowd else free - len(unlisted)
             levels = levels if len(levels) <= spare else {}
             moved.sort(key=lambda i: (-abs(lines.get(i, 0.0) - before.get(i, 0.0)), i))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -607,6 +607,22 @@
             proxy % 2, tables.homes + proxy % 2]
 
 
+@pytest.mark.parametrize("grace, lines", [(3, 1250), (20, 2000), (1, 250)])
+def test_what_can_wait_fills_the_channel_by_two_periods_at_most_however_long_the_grace(grace, lines):
+    """On the whole fleet's days the grace is 20 s: weights and levels waited 9 s behind others of their kind."""
+    assert Outbox(bootstrap(drain_grace=grace * SECOND, most_waiting=50_000.0)).usual == lines
+
+
+def test_a_start_that_would_fill_the_channel_twice_over_is_a_wave():
+    rig = Rig(tasks=96, proxies=0, lines_per_s=700.0, most_waiting=40_000.0, drain_grace=20 * SECOND)
+    rig.feed(*[api.Joined(5.0, True, proxy, proxy % 2) for proxy in range(80)], after=0.1)
+    tables = rig.assigner.tables
+    assert tables.crowded and not any(tables.bound[:2])
+    for _ in range(30):
+        rig.period()
+    assert not tables.crowded and sum(map(len, tables.bound[:2])) == 80 == sum(map(len, tables.bound))
+
+
 def test_a_start_is_no_wave():
     rig = Rig(tasks=96, proxies=24, lines_per_s=700.0, most_waiting=4000.0)
     assert not rig.assigner.tables.crowded
