What streams were told is gathered once a list, not once an index that is asked about

Seen by reading: with a stream that stands still, each new task asked about every resting index, and each answer went through all streams (1,600 x tables). Gathered once, forgotten when anything is written or a stream ends; the test of the index fails without either (seen).

--- a/hollyridge/resp/front.py
+++ b/hollyridge/resp/front.py
@@ -78,6 +78,7 @@
         self.pending = PendingJoins(terms.patience)
         self.collectors: dict[int, list[Stream]] = {}
         self.came = Event()
+        self.named: set[int] | None = None  # tasks that some stream was told of last; None once that may have changed
         self.counts = dict.fromkeys(("connections", "messages_in", "bytes_out", "spoilt", "unreadable", "refused",
                                      "overdue", "merged", "slow", "stray_receipts"), 0)
         self.why: dict[str, int] = {}
@@ -155,6 +156,7 @@
     def end(self, stream: Stream) -> None:
         """Tell of the stream's end; an older stream of a proxy that has a newer one ends nothing."""
         self.pending.left(stream.number)
+        self.named = None
         stream.owed, stream.unsent = None, b""
         if stream in self.collectors.get(stream.zone, ()):
             self.collectors[stream.zone].remove(stream)
@@ -276,6 +278,7 @@
         self.send(stream, self.written(stream, parcel))
 
     def written(self, stream: Stream, parcel: Parcel) -> bytes:
+        self.named = None
         if parcel.mark >= 0:
             stream.marks[parcel.mark] = None
             if len(stream.marks) > MARKS_MOST:
@@ -284,8 +287,10 @@
 
     def holds(self, task: int) -> bool:
         """Whether a stream was told of this task last, however long it has taken nothing: its index is not free."""
-        tables = {id(table): table for stream in self.by_proxy.values() for table in stream.sheet.told.values()}
-        return any(task in table.lines for table in tables.values())
+        if self.named is None:  # once for all tasks of a list, however many indices are asked about
+            tables = {id(table): table for stream in self.by_proxy.values() for table in stream.sheet.told.values()}
+            self.named = {task for table in tables.values() for task in table.lines}
+        return task in self.named
 
     def send(self, stream: Stream, data: bytes) -> None:
         """Without waiting; what the other side does not take yet is sent by a greenlet of its own."""
