--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -126,6 +126,17 @@
             sock.close()
 
 
+def apply_lines(table, fields):
+    """Brings the table that a proxy holds up to date with one order, given by its fields."""
+    if fields.get(b"whole") == b"1":
+        table.clear()
+    for pair in filter(None, fields.get(b"lines", b"").split(b",")):
+        name, weight = pair.decode().split(":")
+        table[name] = float(weight)
+        if float(weight) == 0:
+            del table[name]
+
+
 class Peer:
     """A proxy, a collector or a stranger; `table` and `levels` are what a proxy holds after its orders."""
 
@@ -160,12 +171,8 @@
         if one[0] != b"assign":
             return
         if fields.get(b"whole") == b"1":
-            self.table, self.levels = {}, {}
-        for pair in filter(None, fields.get(b"lines", b"").split(b",")):
-            name, weight = pair.decode().split(":")
-            self.table[name] = float(weight)
-            if float(weight) == 0:
-                del self.table[name]
+            self.levels = {}
+        apply_lines(self.table, fields)
         if b"level" in fields:
             self.levels[fields.get(b"classes", b"all").decode()] = float(fields[b"level"]), int(fields[b"retry"])
         if b"ticket" in fields:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,7 @@
 from gevent import socket as green
 from helpers import SECOND
 from in_process import Hall, Script, chunked, line, watch_of
-from stand_ins import Assigner, Discovery, Peer, message, page, server, wait_for
+from stand_ins import Assigner, Discovery, Peer, apply_lines, message, page, server, wait_for
 
 from hollyridge import interface as api
 from hollyridge.core.logs import Sink
@@ -310,13 +310,7 @@
     def obey():
         for node, sock in socks.items():
             for one in orders(sock) or ():
-                if one.get(b"whole") == b"1":
-                    held[node].clear()
-                for pair in filter(None, one.get(b"lines", b"").split(b",")):
-                    name, weight = pair.split(b":")
-                    held[node][name.decode()] = float(weight)
-                    if not float(weight):
-                        del held[node][name.decode()]
+                apply_lines(held[node], one)
     obey()
     assert all(len(rows) == 6 for rows in held.values())
     hall.tell(2, TASKS[:4])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,21 +7,8 @@
 
 from hollyridge.lab.fences import explore
 from hollyridge.membership import owners, swim
-from hollyridge.membership.owners import (
-    Acked,
-    Came,
-    Claims,
-    Drop,
-    Ended,
-    Lease,
-    Members,
-    Owners,
-    SendTo,
-    Stale,
-    Standing,
-    Take,
-    rightful,
-)
+from hollyridge.membership.owners import Acked, Came, Claims, Drop, Ended, Lease, Members, Owners, SendTo, Stale, \
+    Standing, Take, rightful
 from hollyridge.membership.swim import Changed, Heard, Leaving, Pace, Send, Swim, Told
 from hollyridge.membership.words import Facts, Join, Ping, Status, Word
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -13,14 +13,7 @@
 from hollyridge.steering.doorkeeper import Doorkeeper
 from hollyridge.steering.indices import IndexAllocator
 from hollyridge.steering.members import (
-    AskedAgain,
-    Deregistered,
-    Members,
-    Quiesced,
-    Refusal,
-    Registered,
-    StreamLost,
-    Tick,
+    AskedAgain, Deregistered, Members, Quiesced, Refusal, Registered, StreamLost, Tick,
 )
 from hollyridge.steering.news import SECOND as NS
 from hollyridge.steering.news import Kind, News, Point
