A table without warm tasks admits what its tasks can answer by now

Seen by callers: a zone is lost and returns cold; as soon as one task is listed, all RPCs of the methods that keep to the zone go to it, it falls over within a second, and the callers get errors until the rest is listed.

Cause: SlowStart.limit_weights limits cold tasks against the warm ones of their table. Without any the limit was infinite, and the weight of a lone line means nothing. Admission follows reported failures, a second too late.

Change: decisions/cold_tables. Such a table admits the fraction of its RPCs that the present capacity of its tasks can answer; the level goes out with the lines that need it. Without levels, lines wait. Beside few warm tasks, cold ones are limited in absolute terms, and a cold line that has to fall is sent at once. A shared table without warm tasks, a proposal of the solver too, gets the fleet's warm tasks added. Why this works: the limit no longer depends on a warm task in the same table, but on what tasks answered and what comes.

--- a/hollyridge/decisions/admission.py
+++ b/hollyridge/decisions/admission.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
-from hollyridge.decisions.estimates import Estimates
 from hollyridge.interface import Admission, AssignerConfig
 
 UNLIMITED_RATE = 65536.0  # RPCs per second at one proxy; as a rate limit it admits all RPCs
@@ -88,10 +88,10 @@
     def wanted_levels(
         self,
         zone: int,
+        max_fraction: float,
         failures_are_rare: bool,
         sent: dict[int, Level],
-        estimates: Estimates,
-        proxy_zone: dict[int, int],
+        offered_rates: Callable[[int], list[float]],
     ) -> dict[int, Level]:
         """Return the level and the retry mode of each method at a zone's proxies.
 
@@ -100,19 +100,20 @@
 
         Args:
             zone: Zone of the proxies.
+            max_fraction: Largest fraction that the table may admit.
             failures_are_rare: Hardly any attempts fail.
             sent: Level last sent, by method.
-            estimates: Source of the RPCs that arrive at each proxy, used where levels are rates.
-            proxy_zone: Zone by proxy.
+            offered_rates: Returns the RPCs per second of a method at each of the zone's proxies, ascending; used where
+                levels are rates.
         """
-        fraction = max(1, round(FRACTION_STEPS * self.fraction[zone])) / FRACTION_STEPS
+        fraction = min(max(1, round(FRACTION_STEPS * self.fraction[zone])) / FRACTION_STEPS, max_fraction)
         retry_mode = self.retry_mode_if_failures_rare if failures_are_rare else self.retry_mode_otherwise
         if not self.uses_rates or fraction >= FULL_FRACTION:
             amount = self.unlimited if self.uses_rates else fraction
             return dict.fromkeys(self.methods, Level(amount, retry_mode))
         return {
             method: Level(
-                self.rate_limit(fraction, estimates.offered_rates(proxy_zone, zone, method), sent[method].amount),
+                self.rate_limit(fraction, offered_rates(method), sent[method].amount),
                 retry_mode,
             )
             for method in self.methods
@@ -121,14 +122,16 @@
     def rate_limit(self, fraction: float, rates: list[float], previous_limit: float) -> float:
         """Return the rate limit for each proxy that admits this fraction of the RPCs at all proxies together.
 
-        The limit cuts the proxies with the most traffic. If it changes too little to be worth a line, the previous
-        limit is returned.
+        The limit cuts the proxies with the most traffic. If it changes too little to be worth a line, or no rate is
+        known, the previous limit is returned.
 
         Args:
             fraction: Fraction of all RPCs.
             rates: RPCs per second at each proxy, ascending.
             previous_limit: The limit last sent, in RPCs per second.
         """
+        if not rates:
+            return previous_limit
         remaining = fraction * sum(rates)
         limit = self.unlimited
         for count, rate in enumerate(rates):
--- a/hollyridge/decisions/assigner.py
+++ b/hollyridge/decisions/assigner.py
@@ -13,6 +13,7 @@
 
 from hollyridge.decisions.admission import AdmissionController
 from hollyridge.decisions.backlog import BacklogEstimator
+from hollyridge.decisions.cold_tables import ColdTableLimiter
 from hollyridge.decisions.endpoints import EndpointDirectory
 from hollyridge.decisions.estimates import MICROSECONDS_PER_SECOND, Estimates
 from hollyridge.decisions.outliers import OutlierDetector
@@ -70,7 +71,10 @@
         self.admission = AdmissionController(config)
         self.tables = TableSet(config)
         self.backlog = BacklogEstimator(config)
-        self.planner = TablePlanner(self.endpoints, self.outliers, self.slow_start, self.weights, self.tables)
+        self.cold_tables = ColdTableLimiter(config, self.endpoints, self.estimates, self.slow_start, self.tables)
+        self.planner = TablePlanner(
+            self.endpoints, self.outliers, self.slow_start, self.weights, self.tables, self.cold_tables
+        )
         self.publisher = Publisher(config.drain_grace_us, self.planner, self.estimates, self.admission, self.backlog)
         self.next_period_at_us = -1
         self._handlers: dict[type, Callable[[int, Event], None]] = {
@@ -204,6 +208,9 @@
         warm = [task for task in tasks if snapshot.factors[task] >= WARM]
         self._separate_methods(tasks, warm)
         size = self.estimates.update_sizes(self.endpoints.listed_weight, tasks, warm)
+        self.cold_tables.observe(
+            [[task for task in zone_tasks if snapshot.factors[task] >= WARM] for zone_tasks in snapshot.zone_tasks]
+        )
         self.estimates.decay(now_us)
         costs = self._marginal_costs(latency_us, tasks)
         for zone_tasks in snapshot.zone_tasks:
@@ -267,7 +274,7 @@
             table = self.tables[zone]
             weights = self.planner.contents(zone, snapshot).weights
             published_weights = {task: weight for task, weight in table.weights.items() if task in cost}
-            if table.proxies and published_weights:
+            if table.proxies and published_weights and weights:
                 demand = sum(self.tables.proxy_rate[proxy] for proxy in table.proxies)
                 published += (
                     demand
--- a/hollyridge/decisions/estimates.py
+++ b/hollyridge/decisions/estimates.py
@@ -155,6 +155,11 @@
         """Return the RPCs of all methods that reach a proxy in a report period."""
         return sum(load.rpcs for load in self.offered_load.get(proxy, {}).values())
 
+    def offered_for(self, proxy: int, methods: int) -> float:
+        """Return the RPCs of the methods in a mask that reach a proxy in a report period."""
+        loads = self.offered_load.get(proxy, {})
+        return sum(load.rpcs for method, load in loads.items() if methods >> method & 1)
+
     def covered_until_us(self) -> int:
         """Return the end of the time that the reports of offered load cover; 0 without any report."""
         loads = (load for by_method in self.offered_load.values() for load in by_method.values())
@@ -216,6 +221,16 @@
         scale = sum(listed_weight[task] for task in tasks) / sum(self.capacity[task] for task in tasks)
         return [capacity * scale for capacity in self.capacity]
 
+    def rpcs_per_weight(self, listed_weight: list[float], tasks: list[int]) -> float:
+        """Return the RPCs that these tasks answer in a busy period per listed weight; 0 if utilization is unknown."""
+        busy_weight = sum(self.busy_periods[task] * listed_weight[task] for task in tasks)
+        return sum(self.answered[task] for task in tasks) / busy_weight if busy_weight > 0 else 0.0
+
+    def answered_per_weight(self, listed_weight: list[float], tasks: list[int]) -> float:
+        """Return the RPCs per listed weight that these tasks answered in the last period, at whatever utilization."""
+        attempts, failed = self.attempts_and_failures(tasks)
+        return (attempts - failed) / (sum(listed_weight[task] for task in tasks) or 1.0)
+
     def overload_score(self, zone: int) -> float:
         """Return a score above 1 where a zone's attempts fail or are late; 0 while there are few attempts.
 
--- a/hollyridge/decisions/publisher.py
+++ b/hollyridge/decisions/publisher.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+from functools import partial
 from typing import NamedTuple
 
 from hollyridge.decisions.admission import AdmissionController, Level
 from hollyridge.decisions.backlog import BacklogEstimator
+from hollyridge.decisions.cold_tables import FULL
 from hollyridge.decisions.estimates import Estimates
 from hollyridge.decisions.slow_start import WARM
 from hollyridge.decisions.table_planner import Snapshot, TableContents, TablePlanner
@@ -17,6 +20,7 @@
 from hollyridge.interface import Command, SetAdmission, SetWeight
 
 MIN_WEIGHT_CHANGE = 0.1  # smallest change to send, relative to the line or, for a small line, to 1/10 of the mean line
+COLD_FALL = 0.75  # part of its line to which a cold task's weight has to fall to be sent without waiting for the gate
 MAX_REMOVED_PART = 0.5  # part of a table's weight; if more is removed, the published weights of the rest are obsolete
 REMOVAL_DELAY_DIVISOR = 4  # removals wait for further removals for at most a quarter of the grace
 LONG_QUEUE_DIVISOR = 2  # removals wait for further removals behind a queue longer than half of the soft limit
@@ -43,11 +47,19 @@
 
 
 class TableChange(NamedTuple):
-    """Changes of one table: tasks whose lines are removed, tasks whose lines are set, and levels by method."""
+    """Changes of one table.
+
+    Attributes:
+        removed: Tasks whose lines are removed.
+        changed: Tasks whose lines are set.
+        levels: Changed levels by method.
+        admitted_fraction: Largest fraction of the table's RPCs that the levels admit because all its tasks are cold.
+    """
 
     removed: list[int]
     changed: list[int]
     levels: dict[int, Level]
+    admitted_fraction: float = FULL
 
     def lines(self) -> int:
         """Return the number of lines that the change costs."""
@@ -72,6 +84,7 @@
     ) -> None:
         self.max_removal_delay_us = drain_grace_us // REMOVAL_DELAY_DIVISOR
         self.planner = planner
+        self.cold_tables = planner.cold_tables
         self.tables = planner.tables
         self.estimates = estimates
         self.admission = admission
@@ -114,8 +127,11 @@
             self.has_deferred = True
             return []
         changed = self._changed_lines(table, wanted, removed, batch)
-        levels = self._changed_levels(number, table)
-        change = self._fit_to_channel(table, wanted, TableChange(removed, changed, levels), batch)
+        if self._needs_cold_limit(table, wanted, batch):
+            change = self._fit_cold_table(number, wanted, removed, changed, batch)
+        else:
+            levels = self._changed_levels(number, table, FULL)
+            change = self._fit_to_channel(table, wanted, TableChange(removed, changed, levels), batch)
         self.backlog.reserve(batch.snapshot.now_us, table.proxies, change.lines())
         return self._apply(number, table, wanted, change)
 
@@ -141,7 +157,8 @@
     def _changed_lines(self, table: Table, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
         """Return the tasks whose lines are to be set or removed, apart from the urgent removals.
 
-        New tasks and changed limits bypass the push gate, and so do all lines of a table that loses half its weight.
+        New tasks, changed limits and falling weights of cold tasks bypass the push gate, and so do all lines of a table
+        that loses half its weight.
         Warm tasks that should no longer be in the table are removed unless that would leave it empty.
         """
         weights, caps = wanted
@@ -154,6 +171,7 @@
             for task, weight in weights.items()
             if task not in published
             or published_caps.get(task) != caps[task]
+            or (task in batch.cold and weight < COLD_FALL * published[task])
             or (push and abs(weight - published[task]) > MIN_WEIGHT_CHANGE * max(published[task], min_weight))
         ]
         if not weights or any(task in published for task in weights):
@@ -161,14 +179,15 @@
             changed += [task for task in published if task not in weights and task in ready and task not in cold]
         return [task for task in changed if task not in removed]
 
-    def _changed_levels(self, number: int, table: Table) -> dict[int, Level]:
+    def _changed_levels(self, number: int, table: Table, max_fraction: float) -> dict[int, Level]:
         sent = table.levels
+        zone = self.tables.zone_of(number)
         wanted = self.admission.wanted_levels(
-            self.tables.zone_of(number),
+            zone,
+            max_fraction,
             self.planner.slow_start.failures_are_rare,
             sent,
-            self.estimates,
-            self.tables.proxy_zone,
+            partial(self.estimates.offered_rates, self.tables.proxy_zone, zone),
         )
         return {
             method: level
@@ -182,7 +201,7 @@
         Removals have priority, but a table's last lines are replaced together with their removal.
         """
         proxies, published = table.proxies, table.weights
-        removed, changed, levels = change
+        removed, changed, levels = change.removed, change.changed, change.levels
         free_urgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=True)
         free_nonurgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=False)
         free_after_removals = max(0, free_nonurgent - len(removed))
@@ -202,6 +221,48 @@
         self.has_deferred = True
         return TableChange(removed[:free_urgent], [], {})
 
+    @staticmethod
+    def _needs_cold_limit(table: Table, wanted: TableContents, batch: Batch) -> bool:
+        """Return whether a table holds or is to hold cold tasks only, or still has the level of such a table."""
+        return table.admitted_fraction < FULL or (bool(wanted.weights) and batch.cold.issuperset(wanted.weights))
+
+    def _fit_cold_table(
+        self, number: int, wanted: TableContents, removed: list[int], changed: list[int], batch: Batch
+    ) -> TableChange:
+        """Reduce a change to the lines that fit into the channel, with the level that the tasks then listed can take.
+
+        The level rises only with or after the lines that allow it, and falls together with the change that demands it.
+        """
+        table = self.tables[number]
+        removed = removed + self._unlisted_cold(table, wanted, removed, batch)
+        free_urgent = self._free_beside_levels(number, batch, urgent=True)
+        removing = removed[: max(0, free_urgent)]
+        kept = [task for task in table.weights if task not in removing or task in wanted.weights]
+        allowed = self._admitted_fraction(number, kept, batch)
+        is_urgent = bool(removing) or not kept or allowed < table.admitted_fraction
+        free = free_urgent if is_urgent else self._free_beside_levels(number, batch, urgent=False)
+        fitted = changed[: max(0, free - len(removing))]
+        self.has_deferred = self.has_deferred or len(removing) < len(removed) or len(fitted) < len(changed)
+        if free < 0:
+            self.has_deferred = True
+            return TableChange([], [], {}, table.admitted_fraction)
+        listed = {task for task in (*kept, *fitted) if task in wanted.weights or task not in fitted}
+        if not self.cold_tables.may_list(batch.snapshot.now_us, number, listed):
+            fitted = []  # too few lines fit to be listed without the others
+            listed = kept
+        allowed = self._admitted_fraction(number, listed, batch)
+        return TableChange(removing, fitted, self._changed_levels(number, table, allowed), allowed)
+
+    def _admitted_fraction(self, number: int, tasks: Collection[int], batch: Batch) -> float:
+        return self.cold_tables.admitted_fraction(batch.snapshot.now_us, number, tasks)
+
+    def _free_beside_levels(self, number: int, batch: Batch, urgent: bool) -> int:
+        """Return the lines that may be sent to a table's proxies beside its levels; below 0 if these do not fit."""
+        proxies = self.tables[number].proxies
+        holds_back = bool(proxies) and batch.has_waiting_proxies and not urgent
+        free = 0 if holds_back else self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent)
+        return free - self.tables.methods_of(number).bit_count()
+
     @staticmethod
     def _unlisted_cold(table: Table, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
         """Return the cold tasks that may no longer be listed; of all non-urgent changes their removal goes first."""
@@ -222,4 +283,5 @@
             else:
                 del table.weights[task], table.caps[task]
         table.levels.update(change.levels)
+        table.admitted_fraction = change.admitted_fraction
         return commands
--- a/hollyridge/decisions/slow_start.py
+++ b/hollyridge/decisions/slow_start.py
@@ -42,15 +42,23 @@
 
         The factor rises in quarters from the configured floor, at half the configured overload multiple.
         """
-        config = self.config
-        age_us = now_us - started_at_us
-        if started_at_us <= 0 or age_us >= config.warm_up_us:
+        if self.is_warm(now_us, started_at_us):
             return WARM
-        floor = config.cold_capacity_fraction
-        capacity = floor + (1 - floor) * max(0, age_us) / config.warm_up_us
-        steps = int(STEPS * SAFE_MULTIPLE_FRACTION * capacity * self.failure_scale * config.overload_multiple)
+        capacity = self.present_capacity(now_us, started_at_us)
+        steps = int(STEPS * SAFE_MULTIPLE_FRACTION * capacity * self.failure_scale * self.config.overload_multiple)
         return min(MAX_COLD_FACTOR, max(MIN_STEPS, steps) / STEPS)
 
+    def is_warm(self, now_us: int, started_at_us: int) -> bool:
+        """Return whether a task that started at this time, 0 for long ago, is past its slow start."""
+        return started_at_us <= 0 or now_us - started_at_us >= self.config.warm_up_us
+
+    def present_capacity(self, now_us: int, started_at_us: int) -> float:
+        """Return the part of its capacity that a task has by now, which rises from the configured floor to 1."""
+        if self.is_warm(now_us, started_at_us):
+            return WARM
+        floor = self.config.cold_capacity_fraction
+        return floor + (1 - floor) * max(0, now_us - started_at_us) / self.config.warm_up_us
+
     def update(self, attempts: float, failed: float, cold_capacity: float, reports_are_recent: bool) -> None:
         """Update once per period whether failures are rare and whether cold tasks may be listed.
 
--- a/hollyridge/decisions/table_planner.py
+++ b/hollyridge/decisions/table_planner.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from hollyridge.decisions.cold_tables import ColdTableLimiter
 from hollyridge.decisions.endpoints import EndpointDirectory
 from hollyridge.decisions.outliers import OutlierDetector
 from hollyridge.decisions.slow_start import WARM, SlowStart
@@ -45,19 +46,21 @@
 class TablePlanner:
     """Planner that combines the decisions of the other modules into the contents of tables."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913, PLR0917 - called in one place, with all decisions that it combines
         self,
         endpoints: EndpointDirectory,
         outliers: OutlierDetector,
         slow_start: SlowStart,
         weights: WeightController,
         tables: TableSet,
+        cold_tables: ColdTableLimiter,
     ) -> None:
         self.endpoints = endpoints
         self.outliers = outliers
         self.slow_start = slow_start
         self.weights = weights
         self.tables = tables
+        self.cold_tables = cold_tables
 
     def slow_start_factors(self, now_us: int) -> dict[int, float]:
         """Return the slow-start factor of each ready task."""
@@ -73,9 +76,10 @@
         if number == self.tables.overflow:
             tasks = self._overflow_tasks(snapshot)
             return TableContents(dict.fromkeys(tasks, OVERFLOW_LINE_WEIGHT), dict.fromkeys(tasks, WARM))
-        if self.tables.is_slice(number):
-            return self._slice(number, snapshot)
-        return self._zone_table(number, snapshot)
+        contents = self._slice(number, snapshot) if self.tables.is_slice(number) else self._zone_table(number, snapshot)
+        if not self.cold_tables.may_list(snapshot.now_us, number, contents.weights):
+            return TableContents({}, {})
+        return contents
 
     def _overflow_tasks(self, snapshot: Snapshot) -> list[int]:
         """Return the warm tasks of least weight while separated methods use the overflow table, otherwise none."""
@@ -93,14 +97,15 @@
         whole_table_number = self.tables.zone_of(number)
         if self.tables.zone_local_methods:
             whole_table_number += self.tables.first_home
-        whole_table = self.contents(whole_table_number, snapshot)
+        whole_table = self._zone_table(whole_table_number, snapshot)
         share_index = (number - self.tables.overflow - 1) % SLICES
         tasks = [task for task in whole_table.weights if self.endpoints.rank[task] % SLICES == share_index]
         if not any(snapshot.factors[task] >= WARM for task in tasks):
             tasks = list(whole_table.weights)
-        return TableContents(
-            {task: whole_table.weights[task] for task in tasks}, {task: whole_table.caps[task] for task in tasks}
-        )
+        weights = {task: whole_table.weights[task] for task in tasks}
+        if not self.tables.is_shared(number):
+            weights = self.cold_tables.limit_weights(snapshot.now_us, number, weights)
+        return TableContents(weights, {task: whole_table.caps[task] for task in tasks})
 
     def _zone_table(self, number: int, snapshot: Snapshot) -> TableContents:
         zone = self.tables.zone_of(number)
@@ -111,6 +116,8 @@
         if self.tables.all_zone_local or number >= self.tables.first_home:
             task_zone = self.endpoints.zone
             weights = {task: weight for task, weight in weights.items() if task_zone[task] == zone}
+        else:
+            weights = self._with_warm_tasks(weights, factors)
         if self.weights.proposed[zone].weights:
             weights = self._limit_cold_lines(weights, factors)
         weights = {
@@ -120,7 +127,20 @@
         caps = {
             task: outlier_factor[task] * factors[task] + OVERFLOW_CAP * (task in overflow_tasks) for task in weights
         }
-        return TableContents(self.slow_start.limit_weights(weights, factors, outlier_factor), caps)
+        weights = self.slow_start.limit_weights(weights, factors, outlier_factor)
+        if not self.tables.is_shared(number):
+            weights = self.cold_tables.limit_weights(snapshot.now_us, number, weights)
+        return TableContents(weights, caps)
+
+    def _with_warm_tasks(self, weights: dict[int, float], factors: dict[int, float]) -> dict[int, float]:
+        """Return the weights, with those of all warm tasks added if none of them is warm.
+
+        Otherwise the few cold tasks of the table would get all of its RPCs.
+        """
+        if any(factors[task] >= WARM for task in weights):
+            return weights
+        warm = [task for task, factor in factors.items() if factor >= WARM]
+        return weights | {task: self.weights.weight[task] for task in warm}
 
     @staticmethod
     def _limit_cold_lines(weights: dict[int, float], factors: dict[int, float]) -> dict[int, float]:
--- a/hollyridge/decisions/tables.py
+++ b/hollyridge/decisions/tables.py
@@ -40,15 +40,17 @@
     Attributes:
         weights: Weight by task.
         caps: Factor that limited the weight when its line was sent, by task.
+        admitted_fraction: Largest fraction of its RPCs that it may admit because all of its tasks are cold.
         levels: Admission level by method.
         proxies: Proxies that use the table.
     """
 
-    __slots__ = ("caps", "levels", "proxies", "weights")
+    __slots__ = ("admitted_fraction", "caps", "levels", "proxies", "weights")
 
     def __init__(self, levels: dict[int, Level]) -> None:
         self.weights: dict[int, float] = {}
         self.caps: dict[int, float] = {}
+        self.admitted_fraction = 1.0
         self.levels = levels
         self.proxies: list[int] = []
 
@@ -63,6 +65,7 @@
     Attributes:
         overflow: Number of the table that sheddable methods use in an overload; equals the number of zones.
         first_home: Number of the first home table; the number of tables if there are no home tables.
+        all_methods: Mask of all methods.
         zone_local_methods: Mask of the methods with home tables; 0 if there are no home tables.
         all_zone_local: All methods keep to their zone, so each zone needs only one table, with its own tasks.
         proxy_zone: Zone by joined proxy.
@@ -75,11 +78,11 @@
     def __init__(self, config: AssignerConfig) -> None:
         self.overflow = config.zones
         self.initial_table_size = config.initial_table_size
-        all_methods = (1 << len(config.methods)) - 1
+        self.all_methods = (1 << len(config.methods)) - 1
         zone_local = sum(1 << index for index, method in enumerate(config.methods) if method.same_zone_only)
-        self.all_zone_local = zone_local == all_methods
+        self.all_zone_local = zone_local == self.all_methods
         self.zone_local_methods = 0 if self.all_zone_local else zone_local
-        self.other_methods = all_methods - zone_local if self.zone_local_methods else ALL_METHODS
+        self.other_methods = self.all_methods - zone_local if self.zone_local_methods else ALL_METHODS
         self.first_home = config.zones * (1 + SLICES) + 1
         count = self.first_home + config.zones * (self.zone_local_methods > 0)
         level = Level(unlimited_amount(config), config.default_retry_mode)
@@ -114,10 +117,21 @@
             return (number - self.overflow - 1) // SLICES
         return number - self.first_home
 
+    def is_shared(self, number: int) -> bool:
+        """Return whether this is a zone's table, or a slice of one, that holds tasks of all zones."""
+        if self.is_slice(number):
+            return not (self.zone_local_methods or self.all_zone_local)
+        return number < self.overflow and not self.all_zone_local
+
+    def methods_of(self, number: int) -> int:
+        """Return the mask of the methods for which proxies use a table."""
+        if self.is_slice(number):
+            return self.all_methods
+        return self.zone_local_methods if number >= self.first_home else self.all_methods - self.zone_local_methods
+
     def serves(self, number: int, method: int) -> bool:
         """Return whether proxies use this table for this method."""
-        is_home = number >= self.first_home
-        return self.is_slice(number) or (self.zone_local_methods >> method & 1) == is_home
+        return bool(self.methods_of(number) >> method & 1)
 
     def add_proxy(self, event: ProxyJoined, sheddable_methods: int) -> None:
         """Add a joined proxy, which then waits for its tables."""
