Proxies that join while no task is ready get the empty table, not their old one

Seen by callers: a zone's tasks drain while the assigner restarts; RPCs of the methods that keep to the zone still go to them after the grace, and are lost.

Cause: TableSet.bind_pending passed over tables without lines, also over those that are meant to be empty, so a joining proxy kept the table it had.

Change: such a table is sent to a proxy that has waited for a quarter of the grace. A waiting proxy is now also tried again within an eighth of a period if its join was the last event; before, only with the next report or period. Why this works: an empty whole table takes every line; a table that still awaits its lines is waited for as before, and nothing is sent before any task was listed.

--- a/hollyridge/decisions/assigner.py
+++ b/hollyridge/decisions/assigner.py
@@ -58,6 +58,7 @@
     Attributes:
         config: Configuration of the deployment.
         next_period_at_us: End of the current report period if no reports arrive earlier.
+        retry_at_us: Time of the last timer that was set to retry deferred changes and waiting proxies.
     """
 
     def __init__(self, config: AssignerConfig, seed: int) -> None:
@@ -77,6 +78,7 @@
         )
         self.publisher = Publisher(config.drain_grace_us, self.planner, self.estimates, self.admission, self.backlog)
         self.next_period_at_us = -1
+        self.retry_at_us = -1
         self._handlers: dict[type, Callable[[int, Event], None]] = {
             TrafficReport: self.estimates.record_traffic,
             OfferedLoad: self._on_offered_load,
@@ -107,7 +109,9 @@
         commands = self.endpoints.refresh_commands(now_us)
         if period_ends or list_changed or self._has_pending_work():
             commands += self.publisher.publish(now_us, push)
-        if period_ends or list_changed or TimerFired in event_types or self.publisher.has_deferred:
+        # A proxy that joined may have to wait for its table, with no other event to come.
+        must_retry_join = ProxyJoined in event_types and bool(self.tables.pending) and self.retry_at_us <= now_us
+        if period_ends or list_changed or TimerFired in event_types or self.publisher.has_deferred or must_retry_join:
             commands.append(self._next_timer(now_us))
         return commands
 
@@ -141,8 +145,8 @@
     def _next_timer(self, now_us: int) -> SetTimer:
         next_deadline_us = min(self.next_period_at_us, self.endpoints.refresh_at_us or self.next_period_at_us)
         if self._has_pending_work():
-            retry_us = now_us + self.config.report_period_us // DEFERRED_RETRY_DIVISOR
-            next_deadline_us = min(next_deadline_us, retry_us)
+            self.retry_at_us = now_us + self.config.report_period_us // DEFERRED_RETRY_DIVISOR
+            next_deadline_us = min(next_deadline_us, self.retry_at_us)
         return SetTimer(TIMER_TOKEN, max(next_deadline_us - now_us, MIN_TIMER_US))
 
     def _on_offered_load(self, _now_us: int, event: OfferedLoad) -> None:
--- a/hollyridge/decisions/publisher.py
+++ b/hollyridge/decisions/publisher.py
@@ -122,6 +122,7 @@
     def _publish_table(self, number: int, batch: Batch) -> list[Command]:
         table = self.tables[number]
         wanted = self.planner.contents(number, batch.snapshot)
+        table.awaits_lines = bool(wanted.weights) or not self.planner.endpoints.state
         removed = self._urgent_removals(table, batch)
         if removed and self._can_delay(number, removed, batch):
             self.has_deferred = True
--- a/hollyridge/decisions/tables.py
+++ b/hollyridge/decisions/tables.py
@@ -21,7 +21,7 @@
 SEPARATE_AT_SCORE = 2  # overloaded periods from which methods are separated
 RECOVERED_FAILURE_RATIO = OVERLOAD_FAILURE_RATIO / 5  # failure ratio below which separated methods return
 ALL_METHODS = 0  # mask of a binding for all methods
-LATE_JOIN_DIVISOR = 4  # after a quarter of the grace, a proxy that waits for a table may exceed the soft limit
+LATE_JOIN_DIVISOR = 4  # after a quarter of the grace, a waiting proxy may exceed the soft limit or get an empty table
 LATE_JOIN_LIMIT_FACTOR = 2  # such a proxy may use up to twice the soft limit
 HEADER_LINES = 1  # lines that a binding costs in addition to those of the table
 
@@ -41,16 +41,18 @@
         weights: Weight by task.
         caps: Factor that limited the weight when its line was sent, by task.
         admitted_fraction: Largest fraction of its RPCs that it may admit because all of its tasks are cold.
+        awaits_lines: It has no line yet, but is to get some; False if it is meant to be empty.
         levels: Admission level by method.
         proxies: Proxies that use the table.
     """
 
-    __slots__ = ("admitted_fraction", "caps", "levels", "proxies", "weights")
+    __slots__ = ("admitted_fraction", "awaits_lines", "caps", "levels", "proxies", "weights")
 
     def __init__(self, levels: dict[int, Level]) -> None:
         self.weights: dict[int, float] = {}
         self.caps: dict[int, float] = {}
         self.admitted_fraction = 1.0
+        self.awaits_lines = True
         self.levels = levels
         self.proxies: list[int] = []
 
@@ -197,7 +199,8 @@
         """Return the commands that bind proxies to the tables they wait for, as far as these fit into the channel.
 
         Proxies that wait for their first table go first and, after some time, may exceed the soft limit, because the
-        tables that they still hold from an earlier stream may list removed tasks.
+        tables that they still hold from an earlier stream may list removed tasks. For the same reason they then get a
+        table that is meant to be empty.
         """
         commands: list[Command] = []
         for binding in sorted(self.pending, key=lambda binding: not self._is_first_binding(binding)):
@@ -205,7 +208,9 @@
             table = self.tables[number]
             late_us = backlog.config.drain_grace_us / LATE_JOIN_DIVISOR
             is_late = self._is_first_binding(binding) and now_us - joined_at_us[binding.proxy] > late_us
-            if backlog.is_full(LATE_JOIN_LIMIT_FACTOR if is_late else 1) or not table.weights:
+            if not table.weights and (table.awaits_lines or not is_late):
+                continue
+            if backlog.is_full(LATE_JOIN_LIMIT_FACTOR if is_late else 1):
                 continue
             if backlog.free_lines(now_us, [binding.proxy], urgent=True) >= table.lines() and binding in self.pending:
                 self._remove_pending(binding, number)
--- a/tests/crossings/test_crossings_joining.py
+++ b/tests/crossings/test_crossings_joining.py
@@ -6,10 +6,13 @@
 import gevent
 from crossing_helpers import ATTACH_FIELDS, attach_message, received_updates
 from gevent import socket as green
+from helpers import method
 from in_process import ServerRig
 from stand_ins import message
 
 from hollyridge import interface as api
+from hollyridge.discovery.endpoint_list import EndpointListReceived
+from hollyridge.discovery.schema import ListedEndpoint, WatchEvent
 
 INVALID_INPUT = [
     b"GET / HTTP/1.1\r\n\r\n",
@@ -137,3 +140,18 @@
     rig.wait_until(lambda: len(rig.server.collectors[0]) == 1)
     socks[2].sendall(report)
     rig.wait_until(lambda: len(rig.events(api.TrafficReport)) == 3)
+
+
+def test_a_proxy_that_joins_while_its_zone_drains_is_sent_an_empty_table():
+    """Guards against a proxy that keeps sending to the draining tasks of its old table (review, case 1)."""
+    rig = ServerRig(methods=(method(same_zone_only=True), method()))
+    draining = [ListedEndpoint(f"s-{k}", 0, 0, api.TaskState.DRAINING, 1.0, 0.0) for k in (0, 2, 4)]
+    rig.engine.update_endpoints(rig.now, EndpointListReceived(WatchEvent(2, False, tuple(draining)), False))
+    rig.advance(0.1)
+    sock = rig.proxy(9)
+    rig.advance(1.0)
+    whole = {update.get(b"classes"): update for update in received_updates(sock) if b"whole" in update}
+    assert b"lines" not in whole[b"read-chapter"]
+    assert b"s-1:" in whole[b"redeem-code"][b"lines"]
+    sock.close()
+    rig.server.stop()
--- a/tests/decisions/test_decisions_tables.py
+++ b/tests/decisions/test_decisions_tables.py
@@ -1,5 +1,6 @@
 """Tables: bindings of proxies, separated methods, and waves of joining proxies."""
 
+import pytest
 from helpers import SECOND, AssignerRig, endpoint_list_update, lines, make_endpoint, method
 
 from hollyridge import interface as api
@@ -124,3 +125,42 @@
     assert not rig.assigner.tables.join_wave
     tables = rig.assigner.tables
     assert not any(table.proxies for table in tables.tables[tables.overflow + 1 :])
+
+
+@pytest.mark.parametrize("state", [api.TaskState.DRAINING, api.TaskState.GONE])
+@pytest.mark.parametrize("methods", [(method(), ZONE_LOCAL), (ZONE_LOCAL, ZONE_LOCAL), (method(), method())])
+def test_a_proxy_that_joins_while_no_task_is_ready_for_a_method_gets_an_empty_table(methods, state):
+    """Guards against a proxy that keeps its old table and sends to draining tasks (review, case 1)."""
+    rig = AssignerRig(methods=methods)
+    zone_local = [index for index, config in enumerate(methods) if config.same_zone_only]
+    closed = [task for task in range(8) if task % 2 == 0 or not zone_local]  # the tasks of zone 0, or all
+    rig.feed(endpoint_list_update([make_endpoint(t, state=state) for t in closed], api.UpdateKind.DELTA), after=1)
+    commands = rig.feed(api.ProxyJoined(5.0, False, 9, 0), after=1)
+    for _ in range(10):
+        commands += rig.feed(api.TimerFired(0), after=0.1)
+    bound = {command.table for command in commands if isinstance(command, api.BindTable) and command.proxy == 9}
+    assert any(not rig.tables.get(table) for table in bound)
+    assert not rig.assigner.tables.pending
+    rig.feed(endpoint_list_update([make_endpoint(t) for t in closed], api.UpdateKind.DELTA), after=1)
+    assert all(rig.tables[table] for table in bound)  # the proxy gets the lines as they return
+
+
+def test_no_empty_table_is_sent_before_the_list_is_known():
+    """Guards against an assigner that takes all lines from its proxies because it has just started."""
+    rig = AssignerRig(tasks=0)
+    for _ in range(30):
+        rig.feed(api.TimerFired(0), after=0.1)
+    assert not rig.bound
+    rig.feed(endpoint_list_update([make_endpoint(task) for task in range(8)]), after=0.1)
+    assert set(rig.bound) == {0, 1, 2, 3}
+
+
+def test_a_proxy_that_has_just_joined_waits_for_lines_rather_than_get_an_empty_table():
+    """Guards against proxies that lose all lines because the list is a moment behind at their joining."""
+    rig = AssignerRig()
+    rig.feed(endpoint_list_update([make_endpoint(t, state=api.TaskState.GONE) for t in range(8)]), after=1)
+    rig.feed(api.ProxyJoined(5.0, False, 9, 0), after=1)
+    assert 9 not in rig.bound
+    commands = rig.feed(endpoint_list_update([make_endpoint(task) for task in range(8)]), after=0.1)
+    assert api.BindTable(9, 0, 0) in commands
+    assert len(rig.tables[0]) == 8
