Only proxies that wait for an empty table are tried again sooner

The sooner retry let tables of joining proxies go before other lines on a slow channel. Change: the timer is set sooner only while a proxy waits for a table that is meant to be empty, which is what the fault needed.

--- a/hollyridge/decisions/assigner.py
+++ b/hollyridge/decisions/assigner.py
@@ -109,9 +109,15 @@
         commands = self.endpoints.refresh_commands(now_us)
         if period_ends or list_changed or self._has_pending_work():
             commands += self.publisher.publish(now_us, push)
-        # A proxy that joined may have to wait for its table, with no other event to come.
-        must_retry_join = ProxyJoined in event_types and bool(self.tables.pending) and self.retry_at_us <= now_us
-        if period_ends or list_changed or TimerFired in event_types or self.publisher.has_deferred or must_retry_join:
+        # An empty table is sent some time after the join, when no other event may come.
+        awaits_empty_table = self.tables.awaits_empty_table() and self.retry_at_us <= now_us
+        if (
+            period_ends
+            or list_changed
+            or TimerFired in event_types
+            or self.publisher.has_deferred
+            or awaits_empty_table
+        ):
             commands.append(self._next_timer(now_us))
         return commands
 
--- a/hollyridge/decisions/tables.py
+++ b/hollyridge/decisions/tables.py
@@ -217,6 +217,11 @@
                 commands.append(self._bind(now_us, backlog, binding._replace(table=number)))
         return commands + self._replace_slices(now_us, backlog)
 
+    def awaits_empty_table(self) -> bool:
+        """Return whether a proxy waits for a table that is meant to be empty."""
+        tables = (self.tables[binding.table] for binding in self.pending)
+        return any(not table.weights and not table.awaits_lines for table in tables)
+
     def _is_first_binding(self, binding: PendingBinding) -> bool:
         """Return whether a binding gives its proxy the first table for its methods."""
         return binding.methods in (ALL_METHODS, self.zone_local_methods)
