What fits into the channel is decided in a module of its own

Change: decisions/channel_fit holds the batch, the change of a table and what of it fits; the publisher decides what is due. A part of a cold table's change that may wait no longer counts as deferred, as with other tables. The planner takes an empty fleet's proposal; its test raised ZeroDivisionError before.

--- a/hollyridge/decisions/publisher.py
+++ b/hollyridge/decisions/publisher.py
@@ -6,16 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from functools import partial
-from typing import NamedTuple
 
 from hollyridge.decisions.admission import AdmissionController, Level
 from hollyridge.decisions.backlog import BacklogEstimator
-from hollyridge.decisions.cold_tables import FULL
+from hollyridge.decisions.channel_fit import Batch, ChannelFitter, TableChange
 from hollyridge.decisions.estimates import Estimates
 from hollyridge.decisions.slow_start import WARM
-from hollyridge.decisions.table_planner import Snapshot, TableContents, TablePlanner
+from hollyridge.decisions.table_planner import TableContents, TablePlanner
 from hollyridge.decisions.tables import Table
 from hollyridge.interface import Command, SetAdmission, SetWeight
 
@@ -26,46 +24,6 @@
 LONG_QUEUE_DIVISOR = 2  # removals wait for further removals behind a queue longer than half of the soft limit
 
 
-class Batch(NamedTuple):
-    """State of one publication that is common to all tables.
-
-    Attributes:
-        snapshot: The ready tasks.
-        cold: The ready tasks that are still warming up.
-        push: The push gate has allowed a push of weights.
-        may_delay: Removals may still wait for further removals.
-        queue_is_long: The backlog is so long that delaying removals saves channel capacity.
-        has_waiting_proxies: Some proxies have no table yet, so non-urgent changes are held back.
-    """
-
-    snapshot: Snapshot
-    cold: set[int]
-    push: bool
-    may_delay: bool
-    queue_is_long: bool
-    has_waiting_proxies: bool
-
-
-class TableChange(NamedTuple):
-    """Changes of one table.
-
-    Attributes:
-        removed: Tasks whose lines are removed.
-        changed: Tasks whose lines are set.
-        levels: Changed levels by method.
-        admitted_fraction: Largest fraction of the table's RPCs that the levels admit because all its tasks are cold.
-    """
-
-    removed: list[int]
-    changed: list[int]
-    levels: dict[int, Level]
-    admitted_fraction: float = FULL
-
-    def lines(self) -> int:
-        """Return the number of lines that the change costs."""
-        return len(self.removed) + len(self.changed) + len(self.levels)
-
-
 class Publisher:
     """Publisher of the differences between the planned contents of the tables and those last sent.
 
@@ -84,8 +42,8 @@
     ) -> None:
         self.max_removal_delay_us = drain_grace_us // REMOVAL_DELAY_DIVISOR
         self.planner = planner
-        self.cold_tables = planner.cold_tables
         self.tables = planner.tables
+        self.channel_fitter = ChannelFitter(planner.cold_tables, planner.tables, backlog)
         self.estimates = estimates
         self.admission = admission
         self.backlog = backlog
@@ -127,12 +85,9 @@
         if removed and self._can_delay(number, removed, batch):
             self.has_deferred = True
             return []
-        changed = self._changed_lines(table, wanted, removed, batch)
-        if self._needs_cold_limit(table, wanted, batch):
-            change = self._fit_cold_table(number, wanted, removed, changed, batch)
-        else:
-            levels = self._changed_levels(number, table, FULL)
-            change = self._fit_to_channel(table, wanted, TableChange(removed, changed, levels), batch)
+        due = TableChange(removed, self._changed_lines(table, wanted, removed, batch), {})
+        change = self.channel_fitter.fit(number, wanted, due, batch, partial(self._changed_levels, number))
+        self.has_deferred = self.has_deferred or change.is_deferred
         self.backlog.reserve(batch.snapshot.now_us, table.proxies, change.lines())
         return self._apply(number, table, wanted, change)
 
@@ -180,8 +135,8 @@
             changed += [task for task in published if task not in weights and task in ready and task not in cold]
         return [task for task in changed if task not in removed]
 
-    def _changed_levels(self, number: int, table: Table, max_fraction: float) -> dict[int, Level]:
-        sent = table.levels
+    def _changed_levels(self, number: int, max_fraction: float) -> dict[int, Level]:
+        sent = self.tables[number].levels
         zone = self.tables.zone_of(number)
         wanted = self.admission.wanted_levels(
             zone,
@@ -196,80 +151,6 @@
             if sent[method] != level and self.tables.serves(number, method)
         }
 
-    def _fit_to_channel(self, table: Table, wanted: TableContents, change: TableChange, batch: Batch) -> TableChange:
-        """Reduce a change to the lines that fit into the channel.
-
-        Removals have priority, but a table's last lines are replaced together with their removal.
-        """
-        proxies, published = table.proxies, table.weights
-        removed, changed, levels = change.removed, change.changed, change.levels
-        free_urgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=True)
-        free_nonurgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=False)
-        free_after_removals = max(0, free_nonurgent - len(removed))
-        unlisted = self._unlisted_cold(table, wanted, removed, batch)
-        if len(unlisted) > free_after_removals:
-            self.has_deferred = True
-        removed = removed + unlisted[:free_after_removals]
-        remaining = 0 if proxies and batch.has_waiting_proxies else free_after_removals - len(unlisted)
-        levels = levels if len(levels) <= remaining else {}
-        remaining = max(remaining - len(levels), 0)
-        if len(removed) == len(published):
-            remaining = max(remaining, free_urgent - len(removed))
-        changed.sort(key=lambda task: (-abs(wanted.weights.get(task, 0.0) - published.get(task, 0.0)), task))
-        fitted = TableChange(removed, changed[:remaining], levels)
-        if fitted.lines() <= free_urgent:
-            return fitted
-        self.has_deferred = True
-        return TableChange(removed[:free_urgent], [], {})
-
-    @staticmethod
-    def _needs_cold_limit(table: Table, wanted: TableContents, batch: Batch) -> bool:
-        """Return whether a table holds or is to hold cold tasks only, or still has the level of such a table."""
-        return table.admitted_fraction < FULL or (bool(wanted.weights) and batch.cold.issuperset(wanted.weights))
-
-    def _fit_cold_table(
-        self, number: int, wanted: TableContents, removed: list[int], changed: list[int], batch: Batch
-    ) -> TableChange:
-        """Reduce a change to the lines that fit into the channel, with the level that the tasks then listed can take.
-
-        The level rises only with or after the lines that allow it, and falls together with the change that demands it.
-        """
-        table = self.tables[number]
-        removed = removed + self._unlisted_cold(table, wanted, removed, batch)
-        free_urgent = self._free_beside_levels(number, batch, urgent=True)
-        removing = removed[: max(0, free_urgent)]
-        kept = [task for task in table.weights if task not in removing or task in wanted.weights]
-        allowed = self._admitted_fraction(number, kept, batch)
-        is_urgent = bool(removing) or not kept or allowed < table.admitted_fraction
-        free = free_urgent if is_urgent else self._free_beside_levels(number, batch, urgent=False)
-        fitted = changed[: max(0, free - len(removing))]
-        self.has_deferred = self.has_deferred or len(removing) < len(removed) or len(fitted) < len(changed)
-        if free < 0:
-            self.has_deferred = True
-            return TableChange([], [], {}, table.admitted_fraction)
-        listed = {task for task in (*kept, *fitted) if task in wanted.weights or task not in fitted}
-        if not self.cold_tables.may_list(batch.snapshot.now_us, number, listed):
-            fitted = []  # too few lines fit to be listed without the others
-            listed = kept
-        allowed = self._admitted_fraction(number, listed, batch)
-        return TableChange(removing, fitted, self._changed_levels(number, table, allowed), allowed)
-
-    def _admitted_fraction(self, number: int, tasks: Collection[int], batch: Batch) -> float:
-        return self.cold_tables.admitted_fraction(batch.snapshot.now_us, number, tasks)
-
-    def _free_beside_levels(self, number: int, batch: Batch, urgent: bool) -> int:
-        """Return the lines that may be sent to a table's proxies beside its levels; below 0 if these do not fit."""
-        proxies = self.tables[number].proxies
-        holds_back = bool(proxies) and batch.has_waiting_proxies and not urgent
-        free = 0 if holds_back else self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent)
-        return free - self.tables.methods_of(number).bit_count()
-
-    @staticmethod
-    def _unlisted_cold(table: Table, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
-        """Return the cold tasks that may no longer be listed; of all non-urgent changes their removal goes first."""
-        weights, cold = wanted.weights, batch.cold
-        return [task for task in table.weights if task not in weights and task in cold and task not in removed]
-
     @staticmethod
     def _apply(number: int, table: Table, wanted: TableContents, change: TableChange) -> list[Command]:
         """Record a change as sent and return its commands."""
--- a/hollyridge/decisions/table_planner.py
+++ b/hollyridge/decisions/table_planner.py
@@ -148,7 +148,7 @@
 
         Without this limit a proposal of few lines would give them too much.
         """
-        mean_weight = sum(weights.values()) / sum(factors.values())
+        mean_weight = sum(weights.values()) / (sum(factors.values()) or 1.0)
         return {
             task: weight if factors[task] >= WARM else min(weight / factors[task], mean_weight)
             for task, weight in weights.items()
--- a/tests/decisions/test_decisions_table_planner.py
+++ b/tests/decisions/test_decisions_table_planner.py
@@ -72,3 +72,12 @@
     }
     # The other methods still use other zones.
     assert bool(other_zone_tasks) is any(not m.same_zone_only for m in methods)
+
+
+def test_a_proposal_of_the_solver_while_no_task_is_ready_leaves_the_tables_empty():
+    """Guards against a division by the capacity of no task."""
+    rig = AssignerRig()
+    rig.feed(api.WeightProposal(0, ((0, 1.0),)), after=0.1)
+    rig.feed(endpoint_list_update([make_endpoint(task, state=GONE) for task in range(8)]), after=0.1)
+    rig.period()
+    assert not rig.tables[0]
