Cold lines fall beside the gate only with cut warm lines, in tables of one zone

Change: they go out only in tables of one zone, and only when warm lines of the table are cut by as much; that is the case their test shows. Tests of decisions and joins pass.

--- a/hollyridge/decisions/publisher.py
+++ b/hollyridge/decisions/publisher.py
@@ -18,7 +18,7 @@
 from hollyridge.interface import Command, SetAdmission, SetWeight
 
 MIN_WEIGHT_CHANGE = 0.1  # smallest change to send, relative to the line or, for a small line, to 1/10 of the mean line
-COLD_FALL = 0.75  # part of its line to which a cold task's weight has to fall to be sent without waiting for the gate
+MAX_FALL = 0.75  # part of a line to which a weight has to fall to count as cut
 MAX_REMOVED_PART = 0.5  # part of a table's weight; if more is removed, the published weights of the rest are obsolete
 REMOVAL_DELAY_DIVISOR = 4  # removals wait for further removals for at most a quarter of the grace
 LONG_QUEUE_DIVISOR = 2  # removals wait for further removals behind a queue longer than half of the soft limit
@@ -85,7 +85,7 @@
         if removed and self._can_delay(number, removed, batch):
             self.has_deferred = True
             return []
-        due = TableChange(removed, self._changed_lines(table, wanted, removed, batch), {})
+        due = TableChange(removed, self._changed_lines(number, wanted, removed, batch), {})
         change = self.channel_fitter.fit(number, wanted, due, batch, partial(self._changed_levels, number))
         self.has_deferred = self.has_deferred or change.is_deferred
         self.backlog.reserve(batch.snapshot.now_us, table.proxies, change.lines())
@@ -110,24 +110,24 @@
             return False
         return batch.queue_is_long or self.backlog.messages_are_scarce(table.proxies)
 
-    def _changed_lines(self, table: Table, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
+    def _changed_lines(self, number: int, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
         """Return the tasks whose lines are to be set or removed, apart from the urgent removals.
 
-        New tasks, changed limits and falling weights of cold tasks bypass the push gate, and so do all lines of a table
-        that loses half its weight.
+        New tasks and changed limits bypass the push gate, and so do all lines of a table that loses half its weight.
         Warm tasks that should no longer be in the table are removed unless that would leave it empty.
         """
         weights, caps = wanted
-        published, published_caps = table.weights, table.caps
+        published, published_caps = self.tables[number].weights, self.tables[number].caps
         min_weight = MIN_WEIGHT_CHANGE * sum(weights.values()) / max(len(weights), 1)
         mostly_removed = sum(published[task] for task in removed) > MAX_REMOVED_PART * sum(published.values())
         push = batch.push or mostly_removed
+        falling_cold = self._falling_cold(number, wanted, batch)
         changed = [
             task
             for task, weight in weights.items()
             if task not in published
             or published_caps.get(task) != caps[task]
-            or (task in batch.cold and weight < COLD_FALL * published[task])
+            or task in falling_cold
             or (push and abs(weight - published[task]) > MIN_WEIGHT_CHANGE * max(published[task], min_weight))
         ]
         if not weights or any(task in published for task in weights):
@@ -135,6 +135,17 @@
             changed += [task for task in published if task not in weights and task in ready and task not in cold]
         return [task for task in changed if task not in removed]
 
+    def _falling_cold(self, number: int, wanted: TableContents, batch: Batch) -> set[int]:
+        """Return the cold tasks whose lines have to fall with those of warm tasks that are cut, in a table of one zone.
+
+        Otherwise the cold tasks get the work of the warm ones until the next push.
+        """
+        published = self.tables[number].weights
+        falling = {task for task, weight in wanted.weights.items() if weight < MAX_FALL * published.get(task, 0.0)}
+        if self.tables.is_shared(number) or falling <= batch.cold:
+            return set()
+        return falling & batch.cold
+
     def _changed_levels(self, number: int, max_fraction: float) -> dict[int, Level]:
         sent = self.tables[number].levels
         zone = self.tables.zone_of(number)
