Review case 7: after an outage of discovery the next call comes too late for a drain

After some failed calls the watch pauses for up to 3 s whatever the grace is, while a change counts as told after 6 s.

--- a/review/common_2/platform_2.py
+++ b/review/common_2/platform_2.py
@@ -65,7 +65,8 @@
         self.changes = []  # (version, entry)
         self.watches = []
         self.on_told = lambda entry: None
-        self.told_version = 1  # the configuration holds the first list
+        self.down = False
+        self.server = None
 
     def listed(self):
         return [entry for entry in self.entries.values() if entry["state"] != "terminated"]
@@ -77,15 +78,25 @@
         return {"version": self.version, "full": False, "servers": list(newest.values())}
 
     async def start(self, host):
+        if self.server is not None:
+            return
         self.server = await asyncio.start_server(self.serve, host, 0)
         self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
+    def go_down(self):
+        """End all watches; further calls fail until `down` is false."""
+        self.down = True
+        self.record.line("discovery goes down")
+        for writer in self.watches:
+            writer.transport.abort()
+
     def change(self, *entries):
         """List these entries from now on, and tell the watches at once in one line."""
         self.version += 1
         for entry in entries:
             self.entries[entry["id"]] = entry
             self.changes.append((self.version, entry))
+            self.record.line(f"listed {entry['id']} {entry['state']} version {self.version}")
         for writer in self.watches:
             self.write(writer, {"version": self.version, "full": False, "servers": list(entries)})
 
@@ -103,6 +114,9 @@
             query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
             since = int(query["index"]) if "index" in query else None
             self.record.line(f"discovery call {target}")
+            if self.down:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                return
             if "stream" not in query:
                 body = json.dumps(self.page()).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
@@ -316,16 +330,19 @@
         settings: The settings of the deployment.
         entries: The first list, which the configuration holds as well.
         seed: Seed of the random numbers of the stand-ins.
+        name: Name of the assigner.
+        beside: Platform around another assigner, whose record and discovery this one shares.
     """
 
-    def __init__(self, folder, settings, entries, seed=1, host="127.0.0.1"):
-        self.record = Record(Path(folder) / "record.txt")
+    def __init__(self, folder, settings, entries, seed=1, host="127.0.0.1", name="n1", beside=None):
+        self.name = name
+        self.record = Record(Path(folder) / "record.txt") if beside is None else beside.record
         self.settings = settings
         self.family = settings["family_info"]
         self.classes = [profile["name"] for profile in settings["profiles"]]
         self.rng = random.Random(seed)
         self.host = host
-        self.discovery = Discovery(self.record, entries)
+        self.discovery = Discovery(self.record, entries) if beside is None else beside.discovery
         self.channel = Channel(self.record, settings, self.rng)
         self.proxies = []
         self.reports = deque()
@@ -354,7 +371,7 @@
         temporary = Path(self.folder.name) / "tmp"
         temporary.mkdir()
         environment = os.environ | {
-            "BALANCER_NAME": "n1",
+            "BALANCER_NAME": self.name,
             "BALANCER_LISTEN": "{}:{}".format(*self.listen),
             "BALANCER_DISCOVERY": self.discovery.address,
             "BALANCER_CONFIG": str(self.config_path),
@@ -364,7 +381,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run_command(), cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
         )
-        self.record.line(f"assigner started: {run_command()}")
+        self.record.line(f"assigner {self.name} started: {run_command()}")
         await self.wait_ready()
         self.start_task(self.channel.run())
         self.start_task(self.measure_lag())
@@ -372,10 +389,10 @@
     def write_config(self):
         self.config_path = Path(self.folder.name) / "config.json"
         config = {
-            "name": "n1",
+            "name": self.name,
             "listen": "{}:{}".format(*self.listen),
             "discovery": self.discovery.address,
-            "seed": "8c1f30d27a5be964",
+            "seed": f"{self.rng.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.discovery.page(),
             "settings": self.settings,
@@ -396,7 +413,7 @@
                 continue
             if words == ["hb_ok"]:
                 self.ready_at = time.monotonic()
-                self.record.line("assigner ready")
+                self.record.line(f"assigner {self.name} ready")
                 return
         raise CouldNotRunError("the assigner was not ready within 30 s")
 
@@ -407,10 +424,10 @@
             await asyncio.sleep(0.01)
             self.most_lag_s = max(self.most_lag_s, time.monotonic() - before - 0.01)
 
-    def add_proxy(self, zone, rate):
+    def add_proxy(self, zone, rate, node=None):
         entries = [item["id"] for item in self.discovery.listed() if item["zone"] == zone]
         standing = self.rng.sample(entries, min(len(entries), self.family["initial_set"]))
-        proxy = Proxy(self, len(self.proxies), zone, rate, standing)
+        proxy = Proxy(self, len(self.proxies) if node is None else node, zone, rate, standing)
         self.proxies.append(proxy)
         return proxy
 
@@ -489,7 +506,7 @@
                 self.process.kill()
                 await self.process.wait()
         if self.process is not None:
-            self.record.line(f"assigner ended with {self.process.returncode}")
+            self.record.line(f"assigner {self.name} ended with {self.process.returncode}")
             log = (Path(self.folder.name) / "log").read_text(errors="replace").splitlines()
             for line in log[-5:]:
                 self.record.line(f"log: {line[:600]}")
@@ -497,16 +514,21 @@
         await asyncio.sleep(0.1)
 
 
-def main(play, platform):
-    """Play a case and exit with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
+def main(play, platform, *others):
+    """Play a case around one or several assigners.
+
+    Exits with 0 if the rule held, with 1 if it was broken, and with 2 if the case could not run.
+    """
 
     async def run():
         try:
-            await asyncio.wait_for(play(platform), 110)
-            if platform.process.returncode is not None:
-                raise CouldNotRunError(f"the assigner ended with {platform.process.returncode}")
+            await asyncio.wait_for(play(platform, *others), 112)
+            for one in (platform, *others):
+                if one.process.returncode is not None:
+                    raise CouldNotRunError(f"assigner {one.name} ended with {one.process.returncode}")
         finally:
-            await platform.stop()
+            for one in (platform, *others):
+                await one.stop()
 
     try:
         asyncio.run(run())
