--- a/review/common_2/platform_2.py
+++ b/review/common_2/platform_2.py
@@ -299,7 +299,8 @@
         for pair in fields["lines"].split(",") if "lines" in fields else ():
             task, _, weight = pair.rpartition(":")
             if task not in self.platform.discovery.entries or float(weight) < 0:
-                raise CouldNotRunError(f"a line that no proxy can use: {pair}")
+                self.platform.cannot_run(f"a line that no proxy can use: {pair}")
+                return
             if float(weight) > 0:
                 self.tables[name][task] = float(weight)
             else:
@@ -349,6 +350,7 @@
         self.found = {}  # (zone, task) -> requests since the last sums
         self.on_request = lambda proxy, name, task: None
         self.failures = []
+        self.faults = []  # reasons why the case could not run
         self.most_messages = 0
         self.most_lag_s = 0.0
         self.tasks = []
@@ -488,6 +490,10 @@
                 if not writer.is_closing():
                     writer.write(line)
 
+    def cannot_run(self, text):
+        """Make the case end with 2; for callbacks, whose exceptions reach nobody."""
+        self.faults.append(text)
+
     def fail(self, text):
         self.failures.append(text)
         self.record.line(f"BROKEN {text}")
@@ -524,6 +530,8 @@
         try:
             await asyncio.wait_for(play(platform, *others), 112)
             for one in (platform, *others):
+                if one.faults:
+                    raise CouldNotRunError(one.faults[0])
                 if one.process.returncode is not None:
                     raise CouldNotRunError(f"assigner {one.name} ended with {one.process.returncode}")
         finally:
