The watch of discovery is retried soon enough to keep the drain grace

Callers lost what the task had accepted. Cause: the backoff between calls grew to 3 s with its jitter, whatever the drain grace was. A pause that began shortly before discovery was back came on top of the 6 s after which a change counts as told. Change: the longest delay before a retry is what the grace leaves after the hold of removals and the transit time; the timeout of a connection that is never established has the same limit. Existing tests pass the former limit of 3 s.

--- a/hollyridge/discovery/watch_client.py
+++ b/hollyridge/discovery/watch_client.py
@@ -12,7 +12,7 @@
 from hollyridge.core.event_loop import EventLoop
 from hollyridge.discovery.endpoint_list import EndpointListReceived, EndpointListTracker, WatchFailed
 from hollyridge.discovery.schema import EndpointListError, read
-from hollyridge.discovery.watch_state import CONNECT_TIMEOUT, WatchAction, WatchInput, WatchState
+from hollyridge.discovery.watch_state import WatchAction, WatchInput, WatchState
 from hollyridge.errors import HollyridgeError
 from hollyridge.limits.log_sampling import should_log
 
@@ -24,6 +24,7 @@
 RECEIVE_BYTES = 65536  # bytes per read from the socket
 MIN_WAIT_S = 0.005  # interval between two ticks of the state machine, however close its deadline
 HTTP_OK = 200
+US_PER_S = 1e6
 
 
 class DiscoveryCallError(HollyridgeError):
@@ -96,15 +97,14 @@
                 self.connection = gevent.spawn(self.run_connection)
             elif action is WatchAction.DISCONNECT:
                 self.disconnect("discovery sent no event or heartbeat in time")
-            self.state_changed.wait(max(MIN_WAIT_S, (self.state.next_at_us - self.clock()) / 1e6))
+            self.state_changed.wait(max(MIN_WAIT_S, (self.state.next_at_us - self.clock()) / US_PER_S))
 
     def run_connection(self) -> None:
         """Open one connection and receive events until it ends."""
         sock = None
         self.close_reason = ""
-        connect_timeout_s = CONNECT_TIMEOUT * self.state.heartbeat_interval_us / 1e6
         try:
-            sock = socket.create_connection(self.address, timeout=connect_timeout_s)
+            sock = socket.create_connection(self.address, timeout=self.state.connect_timeout_us / US_PER_S)
             sock.settimeout(None)
             self.receive_events(sock)
         except (OSError, DiscoveryCallError, EndpointListError, h11.ProtocolError) as error:
--- a/hollyridge/discovery/watch_state.py
+++ b/hollyridge/discovery/watch_state.py
@@ -4,7 +4,9 @@
 without data for `SILENCE_TIMEOUT` is lost, whatever the state of its TCP connection. A watch is also lost if its
 current line does not end, or its first list does not arrive, within `MAX_PROPAGATION_HEARTBEATS`, because by then every
 change has been announced to all watchers. Failed attempts are retried with exponential backoff and jitter, because
-discovery is shared and handles requests one by one: clients that all reconnect at once would keep it overloaded.
+discovery is shared and handles requests one by one: clients that all reconnect at once would keep it overloaded. The
+delay before a retry is limited by the drain grace, since a change of the list has to reach the proxies within it even
+if discovery was down until shortly before the change counted as told.
 """
 
 from __future__ import annotations
@@ -17,11 +19,14 @@
 # All times below are in heartbeat intervals.
 SILENCE_TIMEOUT = 1.5  # without any data on an open watch
 RESPONSE_TIMEOUT = 1.5  # for a response, including the requests that discovery handles before this one
-CONNECT_TIMEOUT = 0.5  # for the TCP connection
+CONNECT_TIMEOUT = 0.5  # for the TCP connection, if no shorter one follows from the drain grace
 MIN_BACKOFF = 0.1  # before the first retry, doubled for each further one
 MAX_BACKOFF = 1.0
 MAX_BACKOFF_DOUBLINGS = 16  # keeps the power finite; the backoff reaches its maximum long before
-MIN_JITTER = 0.5  # a backoff is multiplied by a factor drawn from [MIN_JITTER, MIN_JITTER + 1)
+
+# A backoff is multiplied by a factor drawn from [MIN_JITTER, MAX_JITTER).
+MIN_JITTER = 0.5
+MAX_JITTER = 1.5
 
 
 class ConnectionPhase(Enum):
@@ -54,7 +59,7 @@
 class WatchState:
     """State machine of the watch.
 
-    >>> state = WatchState(2_000_000, Random(1))
+    >>> state = WatchState(2_000_000, Random(1), max_retry_delay_us=3_000_000)
     >>> state.handle(0, WatchInput.TICK), state.handle(0, WatchInput.CONNECT_STARTED), state.next_at_us
     (<WatchAction.CONNECT: 1>, <WatchAction.NONE: 0>, 3000000)
     >>> state.handle(2_900_000, WatchInput.EVENT_RECEIVED), state.next_at_us, state.handle(5_900_001, WatchInput.TICK)
@@ -62,14 +67,21 @@
     >>> state.handle(5_900_002, WatchInput.CONNECTION_CLOSED), 100_000 <= state.next_at_us - 5_900_002 <= 300_000
     (<WatchAction.NONE: 0>, True)
 
+    Args:
+        heartbeat_interval_us: Interval between heartbeats of discovery, in microseconds.
+        rng: Source of the jitter.
+        max_retry_delay_us: Longest delay before a retry, jitter included, in microseconds.
+
     Attributes:
         failures: Number of attempts that failed in a row.
         next_at_us: Time to connect (IDLE) or time at which the connection counts as lost, in microseconds.
     """
 
-    def __init__(self, heartbeat_interval_us: int, rng: Random) -> None:
+    def __init__(self, heartbeat_interval_us: int, rng: Random, max_retry_delay_us: int) -> None:
         self.heartbeat_interval_us = heartbeat_interval_us
         self.rng = rng
+        self.max_backoff_us = min(MAX_BACKOFF * heartbeat_interval_us, max_retry_delay_us / MAX_JITTER)
+        self.connect_timeout_us = min(round(CONNECT_TIMEOUT * heartbeat_interval_us), max_retry_delay_us)
         self.phase = ConnectionPhase.IDLE
         self.address_changed = False  # True until the connection to the old address has ended
         self.failures = 0
@@ -152,8 +164,8 @@
     def draw_backoff_us(self) -> int:
         """Return an exponential backoff with jitter; draws once per closed connection, so that seeded runs repeat."""
         doublings = min(self.failures, MAX_BACKOFF_DOUBLINGS)
-        backoff_us = min(MAX_BACKOFF, MIN_BACKOFF * 2**doublings) * self.heartbeat_interval_us
-        return round(backoff_us * (MIN_JITTER + self.rng.random()))
+        backoff_us = min(self.max_backoff_us, MIN_BACKOFF * 2**doublings * self.heartbeat_interval_us)
+        return round(backoff_us * (MIN_JITTER + (MAX_JITTER - MIN_JITTER) * self.rng.random()))
 
     def after(self, now_us: int, heartbeats: float) -> int:
         """Return the time that lies this many heartbeat intervals after now."""
--- a/hollyridge/node/application.py
+++ b/hollyridge/node/application.py
@@ -15,6 +15,7 @@
 from hollyridge.core.event_loop import EventLoop, monotonic_us
 from hollyridge.discovery.endpoint_list import EndpointListReceived, EndpointListTracker
 from hollyridge.discovery.schema import MAX_ENDPOINTS
+from hollyridge.discovery.timing import HEARTBEAT_INTERVAL_US, max_retry_delay_us
 from hollyridge.discovery.watch_client import WatchClient, WatchConfig
 from hollyridge.discovery.watch_state import WatchState
 from hollyridge.node.config import NodeConfig
@@ -27,7 +28,6 @@
 
 RESERVED_DESCRIPTORS = 24  # for other uses than connections of proxies and collectors: log, gevent, discovery, listener
 MAX_PENDING_EVENTS = 20_000  # events queued for the decision module; further reports are dropped
-DISCOVERY_HEARTBEAT_US = 2_000_000  # interval between the empty lines that the platform's discovery sends
 JOIN_TIMEOUT_US = 2_000_000  # the platform allows 1 s for joining and wants others closed within 3 s
 STATUS_PERIOD_S = 5.0
 WATCH_SEED_MASK = 1  # gives the watch a separate random sequence, so that its backoff is independent of the decisions
@@ -115,7 +115,12 @@
 
     def _make_watch(self, config: NodeConfig, endpoint_list: EndpointListTracker) -> WatchClient:
         zones = {name: zone for zone, name in enumerate(config.protocol_names.zones)}
-        state = WatchState(DISCOVERY_HEARTBEAT_US, Random(config.seed ^ WATCH_SEED_MASK))
+        rules = config.assigner_config
+        state = WatchState(
+            HEARTBEAT_INTERVAL_US,
+            Random(config.seed ^ WATCH_SEED_MASK),
+            max_retry_delay_us(rules.drain_grace_us, rules.max_transit_us),
+        )
         return WatchClient(self.loop, endpoint_list, state, WatchConfig(config.discovery, zones), self.log)
 
     def _log_status(self) -> None:
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -159,7 +159,7 @@
     watch = WatchClient(
         loop,
         endpoints.tracker,
-        WatchState(heartbeat_interval_us, Random(3)),
+        WatchState(heartbeat_interval_us, Random(3), max_retry_delay_us=3 * heartbeat_interval_us // 2),
         WatchConfig(("127.0.0.1", scripted_discovery.server.server_port), ZONES),
         structlog.get_logger(),
     )
