Busy connections take turns, so that drains are not delayed by a flood of messages

Need: while one joined client repeated small messages at full speed on one connection, removals of draining tasks came 0.5 to 1.5 s late or not within 6 s (grace 3 s), and heartbeats of others were answered after 0.15 to 0.8 s. Shown by a probe on the node process with nine kinds of messages, sound heartbeats included. Cause: gevent.sleep(0) after each read. The event loop runs up to 50 such callbacks before it looks at sockets and timers, and one read held up to 2,730 heartbeats: 20 ms a step, 1 s until a timer fires (measured 1.003 s for 5 ms). Change: after 64 messages a connection waits for its turn, and all busy connections share one turn at a time with a timer of 1 ms before each. Reads are 8 KiB. Reading moved out of the server into message_receiver. A load report holds at most 64 figures. The watch of discovery gives way with a timer during long lists.

--- a/hollyridge/discovery/watch_client.py
+++ b/hollyridge/discovery/watch_client.py
@@ -23,6 +23,7 @@
 MAX_HEAD_BYTES = 16384  # status line and header of the response
 RECEIVE_BYTES = 65536  # bytes per read from the socket
 MIN_WAIT_S = 0.005  # interval between two ticks of the state machine, however close its deadline
+PAUSE_S = 0.001  # between reads of a long list; a timer, so that sockets and timers are served meanwhile
 HTTP_OK = 200
 US_PER_S = 1e6
 
@@ -145,7 +146,8 @@
                 data = sock.recv(RECEIVE_BYTES)
                 self.state.handle(self.clock(), WatchInput.DATA_RECEIVED)
                 http.receive_data(data)
-                gevent.sleep(0)  # a long list must not block the other greenlets
+                if len(data) == RECEIVE_BYTES:  # a long list must not block the other greenlets
+                    gevent.sleep(PAUSE_S)
             else:
                 self.handle_http_event(event, line)
 
--- a/hollyridge/resp/message_reader.py
+++ b/hollyridge/resp/message_reader.py
@@ -33,6 +33,7 @@
 MAX_UTILIZATION = 16.0
 MAX_LOAD_METRIC = 1e9
 MISSING_LOAD_METRIC = -1.0
+MAX_LOAD_METRICS = 64  # figures in one load report
 MAX_NUMBER_BYTES = 32  # length of a number as text
 MAX_ENDPOINT_BYTES = 256
 MAX_MARK = 65535  # limit of the platform's protocol
@@ -109,10 +110,13 @@
         if not raw:
             return ()
         load: dict[str, float] = {}
-        for pair in raw.split(b","):
+        pairs = raw.split(b",", MAX_LOAD_METRICS)
+        if len(pairs) > MAX_LOAD_METRICS:
+            raise MalformedMessageError("metrics has too many figures")
+        for pair in pairs:
             name, _, value = pair.partition(b":")
             max_value = MAX_UTILIZATION if name == UTILIZATION_METRIC else MAX_LOAD_METRIC
-            number = _number_within(value, 0.0, max_value)
+            number = _number_within(value, 0.0, max_value) if len(value) <= MAX_NUMBER_BYTES else None
             if number is None:
                 raise MalformedMessageError("metrics has no sensible figure")
             load[name.decode("utf-8", "replace")] = number
--- /dev/null
+++ b/hollyridge/resp/message_receiver.py
@@ -0,0 +1,68 @@
+"""Reading of messages from connections, in turns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from hollyridge.core.input_turns import InputTurns, TurnCounter
+from hollyridge.limits.pending_connections import PendingConnections
+from hollyridge.resp.codec import MAX_MESSAGE_BYTES, FrameReader
+from hollyridge.resp.connection import Connection
+
+MAX_UNJOINED_MESSAGE_BYTES = 4096  # limit for connections that have not joined
+RECEIVE_BYTES = 8192  # bytes per read; bounds how long the decoding of one read delays the others
+
+
+class MessageReceiver:
+    """Reader of the connections of one server.
+
+    Args:
+        clock: Returns the time, in microseconds.
+        pending: Connections that have not joined, told of each connection that has sent something.
+        handle: Function that handles one message.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], int],
+        pending: PendingConnections,
+        handle: Callable[[Connection, list[bytes]], None],
+    ) -> None:
+        self.clock = clock
+        self.pending = pending
+        self.handle = handle
+        self.turns = InputTurns()
+
+    def receive_until_closed(self, connection: Connection) -> None:
+        """Read and handle messages until either side closes the connection.
+
+        Raises:
+            OSError: The connection was lost.
+            RespError: The peer sent invalid RESP2.
+        """
+        reader = FrameReader(MAX_UNJOINED_MESSAGE_BYTES)
+        counter = TurnCounter(self.turns)
+        while not connection.close_reason:
+            chunk = connection.sock.recv(RECEIVE_BYTES)
+            if not chunk or connection.close_reason:
+                return
+            connection.last_received_us = self.clock()
+            self.pending.mark_active(connection.number)
+            self._handle_messages(connection, reader.feed(chunk), counter)
+            if reader.fault is not None and not connection.close_reason:
+                raise reader.fault
+            if connection.joined:
+                reader.max_bytes = MAX_MESSAGE_BYTES
+            if len(chunk) < RECEIVE_BYTES:
+                counter.restart()
+            gevent.sleep(0)
+
+    def _handle_messages(self, connection: Connection, messages: list[list[bytes]], counter: TurnCounter) -> None:
+        """Handle messages until the connection is closed."""
+        for parts in messages:
+            self.handle(connection, parts)
+            if connection.close_reason:
+                return
+            counter.count()
--- a/hollyridge/resp/server.py
+++ b/hollyridge/resp/server.py
@@ -18,10 +18,11 @@
 from hollyridge.core.stream_server import ProtocolStreamServer, connection_lost_reason
 from hollyridge.delivery.update_builder import ProxyUpdate, ServerCapabilities
 from hollyridge.limits.pending_connections import PendingConnections
-from hollyridge.resp.codec import MAX_MESSAGE_BYTES, FrameReader, RespError, encode
+from hollyridge.resp.codec import RespError, encode
 from hollyridge.resp.config import RespConfig
 from hollyridge.resp.connection import Connection
 from hollyridge.resp.message_reader import MessageReader
+from hollyridge.resp.message_receiver import MessageReceiver
 from hollyridge.resp.messages import CollectorHello, Heartbeat, InboundMessage, JoinRequest, MalformedMessageError
 from hollyridge.resp.rejection_log import RejectionLog
 from hollyridge.resp.report_handler import ReportHandler
@@ -32,9 +33,7 @@
     from structlog.typing import FilteringBoundLogger
 
 HEARTBEAT_REPLY = encode([b"hb_ok"])
-MAX_UNJOINED_MESSAGE_BYTES = 4096  # limit for connections that have not joined
 MAX_UNSENT_BYTES = 65536  # heartbeats get no reply while a peer leaves this many bytes unread
-RECEIVE_BYTES = 32768  # bytes per read; bounds how long a busy connection delays the others
 SEND_BUFFER_BYTES = 32768  # SO_SNDBUF of a connection; a larger buffer would only hide that a reader is slow
 MIN_PENDING_CONNECTIONS = 8  # allowed however many have joined; the reserved descriptors leave room for them
 MIN_CONNECTIONS = 16  # allowed however few descriptors are available
@@ -80,6 +79,7 @@
         self.counts = dict.fromkeys(COUNTS, 0)
         self.max_connections = max(MIN_CONNECTIONS, config.max_descriptors - config.reserved_descriptors)
         self.pending = PendingConnections(config.join_timeout_us)
+        self.receiver = MessageReceiver(self.clock, self.pending, self._handle)
         self.connection_added = Event()
         self.sweeper: gevent.Greenlet | None = None
         self.collectors: dict[int, list[Connection]] = {}
@@ -153,7 +153,7 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-            self._read_messages(connection)
+            self.receiver.receive_until_closed(connection)
         except OSError as error:
             connection.close_reason = connection.close_reason or connection_lost_reason(error)
         except RespError as error:
@@ -219,33 +219,9 @@
 
     # Messages.
 
-    def _read_messages(self, connection: Connection) -> None:
-        """Read and handle messages until either side closes the connection.
-
-        Raises:
-            OSError: The connection was lost.
-            RespError: The peer sent invalid RESP2.
-        """
-        reader = FrameReader(MAX_UNJOINED_MESSAGE_BYTES)
-        while not connection.close_reason:
-            chunk = connection.sock.recv(RECEIVE_BYTES)
-            if not chunk or connection.close_reason:
-                return
-            connection.last_received_us = self.clock()
-            self.pending.mark_active(connection.number)
-            for parts in reader.feed(chunk):
-                self.counts["messages_in"] += 1
-                self._handle(connection, parts)
-                if connection.close_reason:
-                    return
-            if reader.fault is not None:
-                raise reader.fault
-            if connection.joined:
-                reader.max_bytes = MAX_MESSAGE_BYTES
-            gevent.sleep(0)  # lets other greenlets run, however much this peer sends
-
     def _handle(self, connection: Connection, parts: list[bytes]) -> None:
         """Handle one message; skip a malformed one, and reject the connection if it has not joined."""
+        self.counts["messages_in"] += 1
         try:
             self._dispatch(connection, self.message_reader.read(parts))
         except MalformedMessageError as error:
--- /dev/null
+++ b/tests/hostile_clients.py
@@ -0,0 +1,95 @@
+"""Clients that misbehave against a real assigner process, and measurements of what that does to others."""
+
+import contextlib
+import socket
+import threading
+import time
+from pathlib import Path
+
+BYTES_PER_MB = 1 << 20
+SAMPLING_INTERVAL_S = 0.02
+
+
+def resident_mb(pid):
+    """Return the resident memory of a process in megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class PeakMemory:
+    """Sampler of the largest resident memory of a process, in megabytes, until the process ends."""
+
+    def __init__(self, process):
+        self.process, self.peak_mb = process, 0.0
+        threading.Thread(target=self.sample, daemon=True).start()
+
+    def sample(self):
+        while self.process.poll() is None:
+            with contextlib.suppress(OSError):
+                self.peak_mb = max(self.peak_mb, resident_mb(self.process.pid))
+            time.sleep(SAMPLING_INTERVAL_S)
+
+
+class Flood:
+    """One client that repeats a message at full speed on one connection, until `stop`.
+
+    Args:
+        address: Host and port.
+        opening: Bytes to send first.
+        make_messages: Function that returns bytes to send, given the number of calls so far.
+        reads: Whether the client reads what it is sent.
+        source: Address that the client connects from.
+    """
+
+    def __init__(self, address, opening, make_messages, reads=True, source="127.0.0.1"):
+        self.sock = socket.create_connection(address, timeout=30, source_address=(source, 0))
+        self.opening, self.make_messages = opening, make_messages
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self.write, daemon=True)]
+        if reads:
+            self.threads.append(threading.Thread(target=self.read, daemon=True))
+        for thread in self.threads:
+            thread.start()
+
+    def write(self):
+        calls = 0
+        with contextlib.suppress(OSError):
+            self.sock.sendall(self.opening)
+            while not self.stopped.is_set():
+                self.sock.sendall(self.make_messages(calls))
+                calls += 1
+
+    def read(self):
+        with contextlib.suppress(OSError):
+            while self.sock.recv(BYTES_PER_MB):
+                pass
+
+    def stop(self):
+        self.stopped.set()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        for thread in self.threads:
+            thread.join(5)
+        self.sock.close()
+
+
+def repeated(message, times=1000):
+    """Return a function for `Flood` that always returns this message, many times over."""
+    messages = message * times
+    return lambda calls: messages
+
+
+def send_unfinished(sockets, data):
+    """Send the same bytes on all connections at once, and wait until all have taken or refused them."""
+
+    def send(sock):
+        with contextlib.suppress(OSError):
+            sock.sendall(data)
+
+    threads = [threading.Thread(target=send, args=(sock,), daemon=True) for sock in sockets]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(10)
--- /dev/null
+++ b/tests/node/test_node_hostile_clients.py
@@ -0,0 +1,89 @@
+"""The node process while clients flood it."""
+
+import time
+
+import pytest
+from hostile_clients import Flood, PeakMemory, repeated
+from stand_ins import (
+    METHOD_NAMES,
+    SETTINGS,
+    ZONES,
+    DiscoveryServer,
+    NodeProcess,
+    RespClient,
+    list_page,
+    message,
+    server,
+)
+
+TASKS = [f"s-{k}" for k in range(9)]
+LIST = list_page(7, [server(name, k % 2) for k, name in enumerate(TASKS)])
+MEMORY_LIMIT_MB = 192  # the limit that the platform sets
+DRAIN_GRACE_S = SETTINGS["rules"]["drain_grace"]
+
+PROXY = message("attach", node=100, locality=ZONES[0], w=5.0, cold=1)
+COLLECTOR = message("telemetry", locality=ZONES[0])
+OFFERED_LOAD = message("client_stats", node=100, route=METHOD_NAMES[0], total=20, errors=0, interval=400.0)
+TRAFFIC = message(
+    "upstream_stats",
+    locality=ZONES[0],
+    endpoint="s-1",
+    total=40,
+    errors=0,
+    rtt=90.0,
+    interval=400.0,
+    metrics="util:0.4",
+)
+
+
+def unknown_endpoints(calls):
+    """Return reports on tasks that were never listed, with new names at each call."""
+    names = (f"n-{calls}-{number}" for number in range(200))
+    reports = (
+        message("upstream_stats", locality=ZONES[0], endpoint=name, total=4, errors=0, rtt=9.0, interval=400.0)
+        for name in names
+    )
+    return b"".join(reports)
+
+
+FLOODS = {
+    "heartbeats of a proxy": (PROXY, repeated(message("hb"))),
+    "heartbeats of a collector": (COLLECTOR, repeated(message("hb"))),
+    "reports of a proxy": (PROXY, repeated(OFFERED_LOAD)),
+    "reports of a collector": (COLLECTOR, repeated(TRAFFIC)),
+    "unknown endpoints": (COLLECTOR, unknown_endpoints),
+    "unknown messages": (PROXY, repeated(message("x"))),
+}
+
+
+@pytest.fixture
+def node(tmp_path):
+    discovery = DiscoveryServer(LIST)
+    assigner = NodeProcess(tmp_path, discovery.address, known=LIST, sockets=1024).wait_until_ready()
+    yield assigner, discovery
+    if assigner.process.poll() is None:
+        assigner.process.kill()
+    discovery.stop()
+
+
+@pytest.mark.parametrize(("opening", "make_messages"), FLOODS.values(), ids=FLOODS)
+def test_drains_keep_their_grace_while_one_client_floods(node, opening, make_messages):
+    # Guards against one busy connection that delays the decisions and all other connections by seconds.
+    assigner, discovery = node
+    proxies = [RespClient(assigner.port, number, number % 2) for number in range(1, 7)]
+    for proxy in proxies:
+        proxy.wait_for_table(TASKS)
+    memory = PeakMemory(assigner.process)
+    flood = Flood(("127.0.0.1", assigner.port), opening, make_messages)
+    time.sleep(1)
+    remaining = set(TASKS)
+    for number in range(2):
+        remaining.discard(f"s-{number}")
+        update = list_page(8 + number, [server(f"s-{number}", number % 2, "terminating")], full=False)
+        told_s = time.monotonic()
+        discovery.publish(update)
+        for proxy in proxies:
+            proxy.wait_for_table(remaining, told_s + DRAIN_GRACE_S - time.monotonic())
+    flood.stop()
+    assert memory.peak_mb < MEMORY_LIMIT_MB
+    assert assigner.stop()[0] == 0
--- a/tests/resp/test_resp_message_reader.py
+++ b/tests/resp/test_resp_message_reader.py
@@ -76,6 +76,7 @@
             ("metrics", "util:x"),
             ("metrics", "util:-1"),
             ("metrics", "util:99"),
+            ("metrics", ",".join(["util:0.5"] * 65)),  # guards against one message that takes the process long
             ("endpoint", ""),
         ]
     ],
--- a/tests/resp/test_resp_server.py
+++ b/tests/resp/test_resp_server.py
@@ -1,11 +1,14 @@
 """The platform's protocol server with real connections on loopback."""
 
+from itertools import pairwise
+
 import gevent
 from gevent import socket as green
 from helpers import START
 from in_process import ServerRig
 from stand_ins import message
 
+from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN
 from hollyridge.delivery.update_builder import ProxyUpdate
 from hollyridge.interface import TrafficReport
 from hollyridge.resp.codec import FrameReader
@@ -67,3 +70,19 @@
     rig.proxy(3)
     rig.server.stop()
     rig.wait_until(lambda: sweeper.dead and not rig.server.streams)
+
+
+def test_a_busy_connection_lets_timers_fire_after_each_turn():
+    # Guards against one connection that delays all timers and sockets of the process by thousands of its messages.
+    rig = ServerRig()
+    sock = rig.proxy(3)
+    counts = rig.server.counts
+    sock.sendall(message("hb") * 5000)
+    handled = [counts["messages_in"]]
+    with gevent.Timeout(20):
+        while counts["messages_in"] < 5001:
+            gevent.sleep(0.001)
+            handled.append(counts["messages_in"])
+    # Timers that are due together fire in one iteration of the event loop, so two turns may follow each other.
+    assert max(later - earlier for earlier, later in pairwise(handled)) <= 3 * MAX_MESSAGES_PER_TURN
+    rig.server.stop()
