Unfinished messages of all connections share a budget below the memory limit

Need: 390 joined proxies that stopped within a message of 1 MB made the node process grow to 396 MB, 300 collectors to 309 MB; the platform kills it at 192 MB. Shown by a probe on the node process. Cause: each connection may hold an incomplete message of up to 1 MiB, and nothing bounded their sum. Change: BufferBudget bounds the sum of unfinished messages over 4 KiB at a sixteenth of the memory limit, and names the largest ones to close. The configuration of the server has a new field for it.

--- a/hollyridge/node/application.py
+++ b/hollyridge/node/application.py
@@ -20,6 +20,7 @@
 from hollyridge.discovery.watch_state import WatchState
 from hollyridge.node.config import NodeConfig
 from hollyridge.node.config_reload import ConfigReloader
+from hollyridge.resp.codec import MAX_MESSAGE_BYTES
 from hollyridge.resp.config import RespConfig
 from hollyridge.resp.server import RespServer
 
@@ -29,6 +30,7 @@
 RESERVED_DESCRIPTORS = 24  # for other uses than connections of proxies and collectors: log, gevent, discovery, listener
 MAX_PENDING_EVENTS = 20_000  # events queued for the decision module; further reports are dropped
 JOIN_TIMEOUT_US = 2_000_000  # the platform allows 1 s for joining and wants others closed within 3 s
+MAX_BUFFERED_SHARE = 1 / 16  # part of the memory limit for unfinished messages, which take twice that while decoded
 STATUS_PERIOD_S = 5.0
 WATCH_SEED_MASK = 1  # gives the watch a separate random sequence, so that its backoff is independent of the decisions
 PAGE_BYTES = 4096
@@ -155,6 +157,7 @@
         port=port,
         max_descriptors=min(config.limits.sockets, soft_limit),
         reserved_descriptors=RESERVED_DESCRIPTORS,
+        max_buffered_bytes=max(MAX_MESSAGE_BYTES, round(config.limits.memory_mb * BYTES_PER_MB * MAX_BUFFERED_SHARE)),
         join_timeout_us=JOIN_TIMEOUT_US,
         names=config.protocol_names,
     )
--- a/hollyridge/resp/codec.py
+++ b/hollyridge/resp/codec.py
@@ -44,12 +44,13 @@
         fault: Error after which nothing more can be decoded; None before one.
     """
 
-    __slots__ = ("buffer", "fault", "max_bytes", "message_bytes", "part_bytes", "parts", "parts_left")
+    __slots__ = ("buffer", "decoded_bytes", "fault", "max_bytes", "message_bytes", "part_bytes", "parts", "parts_left")
 
     def __init__(self, max_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self.max_bytes = max_bytes
         self.buffer = bytearray()  # bytes received but not decoded yet
         self.parts: list[bytes] = []  # decoded parts of the current message
+        self.decoded_bytes = 0  # size of these parts
         self.parts_left = 0  # parts that the current message still lacks; 0 between messages
         self.message_bytes = 0  # size of the current message as announced so far
         self.part_bytes = UNKNOWN  # size of the next part; UNKNOWN before its header is decoded
@@ -60,6 +61,11 @@
         """Return whether a message has been received in part."""
         return bool(self.buffer or self.parts_left)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the incomplete message that are held."""
+        return len(self.buffer) + self.decoded_bytes
+
     def feed(self, chunk: bytes) -> list[list[bytes]]:
         """Return the messages that this chunk completes.
 
@@ -103,11 +109,13 @@
         if not buffer.startswith(LINE_END, part_end):
             raise RespError("a part does not end where it should")
         self.parts.append(bytes(buffer[position:part_end]))
+        self.decoded_bytes += self.part_bytes
         self.part_bytes = UNKNOWN
         self.parts_left -= 1
         if not self.parts_left:
             messages.append(self.parts)
             self.parts = []
+            self.decoded_bytes = 0
             self.message_bytes = 0
         return part_end + LINE_END_BYTES
 
--- a/hollyridge/resp/config.py
+++ b/hollyridge/resp/config.py
@@ -15,6 +15,7 @@
         port: Port to listen on; 0 for any free port.
         max_descriptors: Maximum number of open file descriptors of the process.
         reserved_descriptors: Descriptors out of these that are not available to connections of this server.
+        max_buffered_bytes: Maximum number of bytes in unfinished messages of all connections together.
         join_timeout_us: Time that a connection may take to join, in microseconds.
         names: Names that messages use.
     """
@@ -23,5 +24,6 @@
     port: int
     max_descriptors: int
     reserved_descriptors: int
+    max_buffered_bytes: int
     join_timeout_us: int
     names: ProtocolNames
--- a/hollyridge/resp/message_receiver.py
+++ b/hollyridge/resp/message_receiver.py
@@ -1,4 +1,4 @@
-"""Reading of messages from connections, in turns."""
+"""Reading of messages from connections, in turns and within a shared budget of buffered bytes."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import gevent
 
 from hollyridge.core.input_turns import InputTurns, TurnCounter
+from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
 from hollyridge.resp.codec import MAX_MESSAGE_BYTES, FrameReader
 from hollyridge.resp.connection import Connection
@@ -21,18 +22,24 @@
     Args:
         clock: Returns the time, in microseconds.
         pending: Connections that have not joined, told of each connection that has sent something.
+        buffers: Budget of the bytes in unfinished messages.
         handle: Function that handles one message.
+        evict: Function that closes a connection, by number, for a given reason.
     """
 
     def __init__(
         self,
         clock: Callable[[], int],
         pending: PendingConnections,
+        buffers: BufferBudget,
         handle: Callable[[Connection, list[bytes]], None],
+        evict: Callable[[int, str], None],
     ) -> None:
         self.clock = clock
         self.pending = pending
+        self.buffers = buffers
         self.handle = handle
+        self.evict = evict
         self.turns = InputTurns()
 
     def receive_until_closed(self, connection: Connection) -> None:
@@ -55,6 +62,8 @@
                 raise reader.fault
             if connection.joined:
                 reader.max_bytes = MAX_MESSAGE_BYTES
+            for number in self.buffers.hold(connection.number, reader.held_bytes):
+                self.evict(number, "no room for unfinished messages of this size")
             if len(chunk) < RECEIVE_BYTES:
                 counter.restart()
             gevent.sleep(0)
--- a/hollyridge/resp/server.py
+++ b/hollyridge/resp/server.py
@@ -17,6 +17,7 @@
 from hollyridge.core.event_loop import EventLoop
 from hollyridge.core.stream_server import ProtocolStreamServer, connection_lost_reason
 from hollyridge.delivery.update_builder import ProxyUpdate, ServerCapabilities
+from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
 from hollyridge.resp.codec import RespError, encode
 from hollyridge.resp.config import RespConfig
@@ -79,7 +80,8 @@
         self.counts = dict.fromkeys(COUNTS, 0)
         self.max_connections = max(MIN_CONNECTIONS, config.max_descriptors - config.reserved_descriptors)
         self.pending = PendingConnections(config.join_timeout_us)
-        self.receiver = MessageReceiver(self.clock, self.pending, self._handle)
+        buffers = BufferBudget(config.max_buffered_bytes)
+        self.receiver = MessageReceiver(self.clock, self.pending, buffers, self._handle, self._evict_buffered)
         self.connection_added = Event()
         self.sweeper: gevent.Greenlet | None = None
         self.collectors: dict[int, list[Connection]] = {}
@@ -185,6 +187,7 @@
     def _remove(self, connection: Connection) -> None:
         """Remove a closed connection; its proxy stays if it has a newer connection."""
         self.pending.remove(connection.number)
+        self.receiver.buffers.release(connection.number)
         self.sender.discard(connection)
         collectors = self.collectors.get(connection.zone, [])
         if connection in collectors:
@@ -210,6 +213,14 @@
             self.counts["overdue"] += 1
             self._reject(connection, reason)
 
+    def _evict_buffered(self, number: int, reason: str) -> None:
+        """Close a connection that holds too many bytes of an unfinished message."""
+        connection = self.streams.get(number)
+        if connection is not None:
+            self.counts["refused"] += 1
+            self.rejection_log.add(reason, connection)
+            self.close(connection, reason)
+
     def _reject(self, connection: Connection, reason: str) -> None:
         """Send a `reject` message with the reason, and close the connection."""
         if connection.close_reason:
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -62,7 +62,10 @@
         self.send_list(1, [f"s-{k}" for k in range(tasks)])
         self.loop = EventLoop(self.engine, clock=lambda: self.now)
         self.server = RespServer(
-            self.loop, RespConfig("127.0.0.1", 0, descriptors, 24, 2 * SECOND, NAMES), config, structlog.get_logger()
+            self.loop,
+            RespConfig("127.0.0.1", 0, descriptors, 24, 12_000_000, 2 * SECOND, NAMES),
+            config,
+            structlog.get_logger(),
         )
         self.engine.task_in_use = self.server.is_task_sent
         self.port = self.server.start()
--- a/tests/node/test_node_hostile_clients.py
+++ b/tests/node/test_node_hostile_clients.py
@@ -1,9 +1,10 @@
-"""The node process while clients flood it."""
+"""The node process while clients flood it or leave large messages unfinished."""
 
+import socket
 import time
 
 import pytest
-from hostile_clients import Flood, PeakMemory, repeated
+from hostile_clients import Flood, PeakMemory, repeated, send_unfinished
 from stand_ins import (
     METHOD_NAMES,
     SETTINGS,
@@ -87,3 +88,29 @@
     flood.stop()
     assert memory.peak_mb < MEMORY_LIMIT_MB
     assert assigner.stop()[0] == 0
+
+
+@pytest.mark.parametrize("kind", ["proxies", "collectors", "not joined"])
+def test_large_unfinished_messages_stay_within_the_memory_limit(node, kind):
+    # Guards against a process that is killed because hundreds of joined peers stop within a message of 1 MiB.
+    assigner, _ = node
+    memory = PeakMemory(assigner.process)
+    proxy = RespClient(assigner.port, 0)
+    proxy.wait_for_table(TASKS)
+    proxy.sock.sendall(OFFERED_LOAD[:-20])
+    openings = {
+        "proxies": [message("attach", node=number, locality=ZONES[0], w=5.0, cold=1) for number in range(1, 390)],
+        "collectors": [COLLECTOR] * 390,
+        "not joined": [b""] * 390,
+    }
+    sockets = []
+    for opening in openings[kind]:
+        sockets.append(socket.create_connection(("127.0.0.1", assigner.port), timeout=10))
+        sockets[-1].sendall(opening)
+    time.sleep(1)
+    send_unfinished(sockets, b"*3\r\n$12\r\nclient_stats\r\n$4\r\nnode\r\n$1000000\r\n" + b"1" * 900_000)
+    late = RespClient(assigner.port, 395)
+    late.wait_for_table(TASKS)
+    assert proxy.receive() is not None  # its small unfinished message does not count
+    assert memory.peak_mb < MEMORY_LIMIT_MB
+    assert assigner.stop()[0] == 0
