Joining and reports of a peer that has left are not handled any more

Need: a joining that waited on an older connection was handled after its proxy had joined on a newer one, closed that one and ended: the proxy had to connect a third time. Reports of a proxy were handled after it had left (700 of 700). Cause: the end of a connection is noticed only after all bytes before it, and joining ignored the ages of connections. Change: joining is rejected if the proxy has a newer connection or the peer has closed its own. A connection whose turn ends is dropped if its peer has closed it; poll tells so before the bytes are read.

--- a/hollyridge/resp/message_receiver.py
+++ b/hollyridge/resp/message_receiver.py
@@ -7,6 +7,7 @@
 import gevent
 
 from hollyridge.core.input_turns import InputTurns, TurnCounter
+from hollyridge.core.peer_state import has_peer_closed
 from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
 from hollyridge.resp.codec import MAX_MESSAGE_BYTES, FrameReader
@@ -14,6 +15,7 @@
 
 MAX_UNJOINED_MESSAGE_BYTES = 4096  # limit for connections that have not joined
 RECEIVE_BYTES = 8192  # bytes per read; bounds how long the decoding of one read delays the others
+CLOSED_WITH_INPUT_REASON = "closed by the peer before its messages were handled"
 
 
 class MessageReceiver:
@@ -69,9 +71,11 @@
             gevent.sleep(0)
 
     def _handle_messages(self, connection: Connection, messages: list[list[bytes]], counter: TurnCounter) -> None:
-        """Handle messages until the connection is closed."""
+        """Handle messages until the connection is closed; drop the rest if its peer has left meanwhile."""
         for parts in messages:
             self.handle(connection, parts)
             if connection.close_reason:
                 return
-            counter.count()
+            if counter.count() and has_peer_closed(connection.sock):
+                connection.close_reason = CLOSED_WITH_INPUT_REASON
+                return
--- a/hollyridge/resp/server.py
+++ b/hollyridge/resp/server.py
@@ -15,13 +15,14 @@
 
 from hollyridge import interface as api
 from hollyridge.core.event_loop import EventLoop
+from hollyridge.core.peer_state import has_peer_closed
 from hollyridge.core.stream_server import ProtocolStreamServer, connection_lost_reason
 from hollyridge.delivery.update_builder import ProxyUpdate, ServerCapabilities
 from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
 from hollyridge.resp.codec import RespError, encode
 from hollyridge.resp.config import RespConfig
-from hollyridge.resp.connection import Connection
+from hollyridge.resp.connection import NOT_JOINED, Connection
 from hollyridge.resp.message_reader import MessageReader
 from hollyridge.resp.message_receiver import MessageReceiver
 from hollyridge.resp.messages import CollectorHello, Heartbeat, InboundMessage, JoinRequest, MalformedMessageError
@@ -259,6 +260,7 @@
     def _join(self, connection: Connection, message: JoinRequest) -> None:
         if connection.joined:
             raise MalformedMessageError("this connection has already joined")
+        self._check_current(connection, message.node)
         now_us = self.clock()
         if len(self.streams) - len(self.pending.waiting) >= self.max_connections:
             # Another joined connection would use the last descriptors left for connections that have not joined.
@@ -275,6 +277,18 @@
         self.by_proxy[proxy] = connection
         self.loop.wake()
 
+    def _check_current(self, connection: Connection, node: int) -> None:
+        """Check that the peer still waits for its joining to be handled.
+
+        Raises:
+            MalformedMessageError: The peer has left, or the proxy has joined on a newer connection.
+        """
+        newest = self.by_proxy.get(self.engine.proxy_indices.index.get(node, NOT_JOINED))
+        if newest is not None and newest.number > connection.number:
+            raise MalformedMessageError("this proxy has joined on a newer connection")
+        if has_peer_closed(connection.sock):
+            raise MalformedMessageError("the peer has left before its joining was handled")
+
     def _add_collector(self, connection: Connection, message: CollectorHello) -> None:
         if connection.joined:
             raise MalformedMessageError("this connection has already joined")
--- a/tests/resp/test_resp_server.py
+++ b/tests/resp/test_resp_server.py
@@ -10,7 +10,7 @@
 
 from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN
 from hollyridge.delivery.update_builder import ProxyUpdate
-from hollyridge.interface import TrafficReport
+from hollyridge.interface import OfferedLoad, TrafficReport
 from hollyridge.resp.codec import FrameReader
 
 
@@ -86,3 +86,34 @@
     # Timers that are due together fire in one iteration of the event loop, so two turns may follow each other.
     assert max(later - earlier for earlier, later in pairwise(handled)) <= 3 * MAX_MESSAGES_PER_TURN
     rig.server.stop()
+
+
+def test_a_proxy_keeps_its_newer_connection_if_the_joining_on_an_older_one_is_handled_later():
+    # Guards against a joining that runs again for a proxy that has come back on another connection meanwhile.
+    rig = ServerRig()
+    older = green.create_connection(("127.0.0.1", rig.port))
+    older.sendall(
+        message("hb") * (3 * MAX_MESSAGES_PER_TURN) + message("attach", node=3, locality="khalda", w=5, cold=1)
+    )
+    rig.wait_until(lambda: rig.server.counts["messages_in"] >= MAX_MESSAGES_PER_TURN)
+    newer = rig.proxy(3)
+    rig.wait_until(lambda: rig.server.counts["messages_in"] >= 3 * MAX_MESSAGES_PER_TURN + 2)
+    rig.wait_until(lambda: len(rig.server.streams) == 1)
+    assert rig.engine.counts["joins"] == 1
+    newer.sendall(message("hb"))
+    with gevent.Timeout(5):
+        assert b"hb_ok" in newer.recv(100)
+    rig.server.stop()
+
+
+def test_reports_of_a_proxy_that_has_left_are_not_handled_once_its_turn_has_ended():
+    # Guards against reports that are handled long after their sender has closed its connection.
+    rig = ServerRig()
+    leaving = green.create_connection(("127.0.0.1", rig.port))
+    report = message("client_stats", node=3, route="read-chapter", total=20, errors=0, interval=400.0)
+    leaving.sendall(message("attach", node=3, locality="khalda", w=5, cold=1) + report * 700)
+    leaving.close()
+    rig.wait_until(lambda: rig.server.counts["connections"] == 1 and not rig.server.streams)
+    assert len(rig.events(OfferedLoad)) < MAX_MESSAGES_PER_TURN
+    assert not rig.engine.servers
+    rig.server.stop()
