Floods at the servers of serve take turns, so that other clients are answered

Need: one client that sent HTTP requests ahead on one connection, or acks or requests to the pub-sub sockets, kept serve from answering anyone for 6 s, in six probes of six. Datagrams at the peer address delayed others by 0.03 to 0.38 s. Cause: a loop that reads sockets, queues or buffers which hold input never gives way to other greenlets. Change: an HTTP request that was already there when the last one ended waits for a turn, as do reports after 500 points (gevent.sleep(0) before, which does not serve timers). The turns are those of the event loop, so that all servers of a process share them. The HTTP server moved to http_connections, the doubled loops of pub-sub became one. The platform's server reads 16 KiB at once.

--- a/hollyridge/chp/server.py
+++ b/hollyridge/chp/server.py
@@ -25,6 +25,7 @@
 from hollyridge.chp.session_registry import JoinRequest, SessionRegistry
 from hollyridge.chp.sockets import ReceivedMessage, ServerSockets
 from hollyridge.core.event_loop import EventLoop
+from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN, PAUSE_S
 from hollyridge.delivery.update_builder import ProxyUpdate, ServerCapabilities
 from hollyridge.keys.curve import Curve
 from hollyridge.limits.connection_limiter import ConnectionLimiter
@@ -138,12 +139,20 @@
     # Requests.
 
     def _answer_requests(self) -> None:
+        self._handle_messages(self.sockets.snapshot, self._answer)
+
+    def _handle_messages(self, sock: zmq.Socket, handle: Callable[[ReceivedMessage], None]) -> None:
+        """Handle the messages of a socket in turns, so that a flood leaves time for all other work of the process."""
+        handled = 0
         while True:
-            received = self.sockets.receive(self.sockets.snapshot)
+            received = self.sockets.receive(sock)
             try:
-                self._answer(received)
+                handle(received)
             except ChpError as error:
                 self._note_malformed(received.address, str(error))
+            handled += 1
+            if handled % MAX_MESSAGES_PER_TURN == 0:
+                self.loop.sleep(PAUSE_S)
 
     def _answer(self, received: ReceivedMessage) -> None:
         routing_id, *parts = received.parts
@@ -177,12 +186,7 @@
         self.publication.send_snapshot(session, subtree)
 
     def _collect_acks(self) -> None:
-        while True:
-            received = self.sockets.receive(self.sockets.collector)
-            try:
-                self._collect(received)
-            except ChpError as error:
-                self._note_malformed(received.address, str(error))
+        self._handle_messages(self.sockets.collector, self._collect)
 
     def _collect(self, received: ReceivedMessage) -> None:
         message = codec.decode(received.parts, collector=True)
--- a/hollyridge/core/event_loop.py
+++ b/hollyridge/core/event_loop.py
@@ -10,6 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from hollyridge.core.engine import Engine
+from hollyridge.core.input_turns import InputTurns
 
 CLOCK_OFFSET_US = 1_000_000_000  # us added to the monotonic clock, since the interface reads time 0 as long past
 MAX_RUN_US = 60_000_000  # upper end of the histogram of run durations
@@ -29,6 +30,7 @@
         engine: The engine, owned by the greenlet that calls `run`.
         clock: Returns the time, in microseconds.
         spawn, sleep: Functions for greenlets beside the engine. A simulation replaces them by its own.
+        input_turns: Turns of the connections with much input, of all servers of the process.
         run_durations: Histogram of the duration of the engine's runs, in microseconds.
     """
 
@@ -43,6 +45,7 @@
         self.clock = clock
         self.min_interval_s = min_interval_s
         self.work_available = Event()
+        self.input_turns = InputTurns()
         self.run_durations = HdrHistogram(1, MAX_RUN_US, RUN_DIGITS)
         self.stopping = False
 
--- a/hollyridge/otlp/http_server.py
+++ b/hollyridge/otlp/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of the receiver: connections, TLS, and typed requests and responses."""
+"""Typed requests and responses of the receiver's HTTP server."""
 
 from __future__ import annotations
 
@@ -6,16 +6,11 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
-from gevent import socket
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
-
-from hollyridge.keys.tls import peer_common_name
 from hollyridge.otlp.errors import REASON_PHRASES
+from hollyridge.otlp.http_connections import PRINCIPAL_KEY
 
 JSON = "application/json"
 PROTOBUF = "application/x-protobuf"
-PRINCIPAL_KEY = "hollyridge.principal"  # key of the client certificate's common name in the WSGI environment
 LOOPBACK_PREFIXES = ("127.", "::1")
 
 
@@ -79,35 +74,3 @@
     ]
     start_response(f"{response.status:d} {REASON_PHRASES[response.status]}", headers)
     return [response.body]
-
-
-def create_server(
-    address: tuple[str, int],
-    application: Callable[[dict, Callable], list[bytes]],
-    max_connections: int,
-    wrap_tls: Callable[[socket.socket], socket.socket] | None,
-) -> WSGIServer:
-    """Create a server without starting it; `wrap_tls` wraps accepted sockets in TLS, None means plain HTTP."""
-    server_class = WSGIServer if wrap_tls is None else tls_server_class(wrap_tls)
-    return server_class(address, application, log=None, error_log=None, spawn=Pool(max_connections))
-
-
-def tls_server_class(wrap_tls: Callable[[socket.socket], socket.socket]) -> type[WSGIServer]:
-    """Return a server class that wraps connections in TLS and adds the principal to each request's environment."""
-
-    class TlsHandler(WSGIHandler):
-        def get_environ(self) -> dict:
-            return {**super().get_environ(), PRINCIPAL_KEY: peer_common_name(self.socket)}
-
-    class TlsServer(WSGIServer):
-        handler_class = TlsHandler
-
-        def handle(self, sock: socket.socket, address: tuple) -> None:
-            try:
-                sock = wrap_tls(sock)
-            except OSError:
-                sock.close()
-                return
-            super().handle(sock, address)
-
-    return TlsServer
--- a/hollyridge/otlp/intake.py
+++ b/hollyridge/otlp/intake.py
@@ -10,7 +10,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
-import gevent
 from gevent import socket
 from google.protobuf import json_format
 from google.protobuf.message import Message
@@ -23,7 +22,8 @@
 from hollyridge.core.event_loop import EventLoop
 from hollyridge.limits.fair_share import FairShareLimiter
 from hollyridge.otlp.errors import BadRequestError
-from hollyridge.otlp.http_server import JSON, PROTOBUF, HttpRequest, HttpResponse, create_server, send
+from hollyridge.otlp.http_connections import HttpServer
+from hollyridge.otlp.http_server import JSON, PROTOBUF, HttpRequest, HttpResponse, send
 from hollyridge.otlp.reading import ALREADY_COUNTED, NOT_ALLOWED, AttributeNames, CumulativeState, read_points
 from hollyridge.otlp.request_body import BodyEncoding, BodyLimits, decode_body, read_body
 from hollyridge.sessions.access import AccessControl
@@ -35,7 +35,7 @@
 MAX_QUOTED_PATH_CHARS = 80
 MAX_QUOTED_METHOD_CHARS = 16
 FAIR_SHARE_PERIOD_US = 1_000_000  # the budget of data points is configured per second
-POINTS_PER_YIELD = 500  # data points processed before other greenlets may run
+POINTS_PER_TURN = 500  # data points of one report that are processed in a row
 # Statuses that keep the connection open. With any other status part of the body may be unread.
 KEEP_ALIVE_STATUSES = (HTTPStatus.OK, HTTPStatus.TOO_MANY_REQUESTS)
 OPEN_ACCESS = AccessControl(False, ())
@@ -107,7 +107,8 @@
         self.fair_share = FairShareLimiter(config.points_per_s, FAIR_SHARE_PERIOD_US, config.max_connections)
         self.counts = dict.fromkeys(("requests", "points", "rejected", "bad", "slowed"), 0)
         self.uncounted: dict[str, int] = {}  # number of data points that did not count, by reason
-        self.server = create_server((config.host, config.port), self.serve, config.max_connections, options.wrap_tls)
+        address = (config.host, config.port)
+        self.server = HttpServer(address, self.serve, config.max_connections, loop.input_turns, options.wrap_tls)
 
     def start(self) -> int:
         """Start listening and return the port.
@@ -231,8 +232,8 @@
                 self.uncounted[reason] = self.uncounted.get(reason, 0) + 1
                 if reason != ALREADY_COUNTED:  # for the sender, a retry after a lost response is a success
                     rejected[reason] = rejected.get(reason, 0) + 1
-            if total % POINTS_PER_YIELD == 0:
-                gevent.sleep(0)
+            if total % POINTS_PER_TURN == 0:
+                self.loop.input_turns.wait()
         self.fair_share.record(now_us, source, total)
         self.counts["requests"] += 1
         self.counts["points"] += total
--- a/hollyridge/resp/message_receiver.py
+++ b/hollyridge/resp/message_receiver.py
@@ -6,7 +6,8 @@
 
 import gevent
 
-from hollyridge.core.input_turns import InputTurns, TurnCounter
+from hollyridge.core.event_loop import EventLoop
+from hollyridge.core.input_turns import TurnCounter
 from hollyridge.core.peer_state import has_peer_closed
 from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
@@ -14,7 +15,7 @@
 from hollyridge.resp.connection import Connection
 
 MAX_UNJOINED_MESSAGE_BYTES = 4096  # limit for connections that have not joined
-RECEIVE_BYTES = 8192  # bytes per read; bounds how long the decoding of one read delays the others
+RECEIVE_BYTES = 16384  # bytes per read; bounds how long the decoding of one read delays the others
 CLOSED_WITH_INPUT_REASON = "closed by the peer before its messages were handled"
 
 
@@ -22,7 +23,7 @@
     """Reader of the connections of one server.
 
     Args:
-        clock: Returns the time, in microseconds.
+        loop: Event loop with the clock and with the turns of busy connections.
         pending: Connections that have not joined, told of each connection that has sent something.
         buffers: Budget of the bytes in unfinished messages.
         handle: Function that handles one message.
@@ -31,18 +32,18 @@
 
     def __init__(
         self,
-        clock: Callable[[], int],
+        loop: EventLoop,
         pending: PendingConnections,
         buffers: BufferBudget,
         handle: Callable[[Connection, list[bytes]], None],
         evict: Callable[[int, str], None],
     ) -> None:
-        self.clock = clock
+        self.clock = loop.clock
+        self.turns = loop.input_turns
         self.pending = pending
         self.buffers = buffers
         self.handle = handle
         self.evict = evict
-        self.turns = InputTurns()
 
     def receive_until_closed(self, connection: Connection) -> None:
         """Read and handle messages until either side closes the connection.
--- a/hollyridge/resp/server.py
+++ b/hollyridge/resp/server.py
@@ -82,7 +82,7 @@
         self.max_connections = max(MIN_CONNECTIONS, config.max_descriptors - config.reserved_descriptors)
         self.pending = PendingConnections(config.join_timeout_us)
         buffers = BufferBudget(config.max_buffered_bytes)
-        self.receiver = MessageReceiver(self.clock, self.pending, buffers, self._handle, self._evict_buffered)
+        self.receiver = MessageReceiver(loop, self.pending, buffers, self._handle, self._evict_buffered)
         self.connection_added = Event()
         self.sweeper: gevent.Greenlet | None = None
         self.collectors: dict[int, list[Connection]] = {}
--- a/hollyridge/sasp/transport.py
+++ b/hollyridge/sasp/transport.py
@@ -13,6 +13,7 @@
 
 import gevent
 
+from hollyridge.core.input_turns import TurnCounter
 from hollyridge.core.stream_server import connection_lost_reason
 from hollyridge.limits.connection_limiter import TokenBucket
 from hollyridge.sasp import codec
@@ -57,6 +58,7 @@
         """Read requests and pass them to the server; OSError and SaspError end the connection."""
         framer = codec.Framer(self.config.max_message_bytes)
         requests = self.server.limiter.request_bucket()
+        counter = TurnCounter(self.server.loop.input_turns)
         opened_us = self.clock()
         frame_began_us = opened_us
         while not connection.close_reason:
@@ -72,7 +74,7 @@
             if not framer.partial:
                 frame_began_us = self.clock()
             for frame in framer.feed(chunk):
-                self._apply_backpressure(connection, requests)
+                self._apply_backpressure(connection, requests, counter)
                 self.server.counts["frames_in"] += 1
                 self.server.handle_message(connection, frame)
                 frame_began_us = self.clock()
@@ -91,8 +93,9 @@
             return None
         return max(MIN_TIMEOUT_S, left_s)
 
-    def _apply_backpressure(self, connection: Connection, requests: TokenBucket) -> None:
+    def _apply_backpressure(self, connection: Connection, requests: TokenBucket, counter: TurnCounter) -> None:
         """Wait while the peer exceeds its request rate or does not read; its full TCP window then slows it down."""
+        counter.count()
         while not requests.take(self.clock()) and not connection.close_reason:
             gevent.sleep(BACKPRESSURE_SLEEP_S)
         while len(connection.replies) >= MAX_WAITING_REPLIES and not connection.close_reason:
--- a/tests/resp/test_resp_server.py
+++ b/tests/resp/test_resp_server.py
@@ -107,11 +107,12 @@
 
 
 def test_reports_of_a_proxy_that_has_left_are_not_handled_once_its_turn_has_ended():
-    # Guards against reports that are handled long after their sender has closed its connection.
+    # Guards against reports that are handled long after their sender has closed its connection. All bytes fit into the
+    # receive buffer: the end of a connection shows only once the peer's system has sent it.
     rig = ServerRig()
     leaving = green.create_connection(("127.0.0.1", rig.port))
     report = message("client_stats", node=3, route="read-chapter", total=20, errors=0, interval=400.0)
-    leaving.sendall(message("attach", node=3, locality="khalda", w=5, cold=1) + report * 700)
+    leaving.sendall(message("attach", node=3, locality="khalda", w=5, cold=1) + report * 300)
     leaving.close()
     rig.wait_until(lambda: rig.server.counts["connections"] == 1 and not rig.server.streams)
     assert len(rig.events(OfferedLoad)) < MAX_MESSAGES_PER_TURN
--- /dev/null
+++ b/tests/test_service_hostile_clients.py
@@ -0,0 +1,155 @@
+"""The process `hollyridge serve` while clients flood it."""
+
+import socket
+import threading
+import time
+
+import pytest
+import zmq
+from hostile_clients import Flood, ServeProcess, repeated
+
+from hollyridge.otlp.sender import MetricPoint, build_export_request
+from hollyridge.sasp.client import HeldWeights, LoadBalancerClient, MemberRegistrar
+from hollyridge.sasp.codec import GetWeights, Member, SetBalancer, encode
+
+GROUPS = ("read-chapter", "unlock-chapter", "redeem-code")
+MEMBERS = [Member.at(f"127.{1 + k % 3}.0.{k + 1}", 9000, f"t{k} run=a up=100") for k in range(6)]
+DRAIN_GRACE_S = 3.0  # of examples/loopback.ini
+MEMORY_LIMIT_MB = 192  # the limit that the platform sets for an assigner
+ATTACKER = "127.0.0.9"
+REPORT_HEAD = b"POST /v1/metrics HTTP/1.1\r\nContent-Type: application/x-protobuf\r\nContent-Length: %d\r\n\r\n"
+
+
+@pytest.fixture
+def serve(tmp_path):
+    started = []
+
+    def start(**options):
+        started.append(ServeProcess(tmp_path, **options))
+        return started[-1]
+
+    yield start
+    for process in started:
+        process.stop()
+
+
+def report(task):
+    labels = {"proxy": "gw-1", "zone": "abdali", "task": task, "method": "read-chapter"}
+    point = MetricPoint("hollyridge.tries", 1.0, labels, 2_000_000_000, 1_000_000_000)
+    body = build_export_request("source", [point]).SerializeToString()
+    return REPORT_HEAD % len(body) + body
+
+
+def reports_on_new_tasks(calls):
+    return b"".join(report(f"127.9.{calls % 250}.{number}:{1 + calls}") for number in range(1, 200))
+
+
+def new_uids(calls):
+    return b"".join(encode(number, SetBalancer(f"gw-{calls}-{number}", 127, 0)) for number in range(200))
+
+
+STREAM_FLOODS = {
+    "pages": ("otlp", repeated(b"GET /status HTTP/1.1\r\n\r\n", 500)),
+    "empty reports": ("otlp", repeated(REPORT_HEAD % 0)),
+    "reports": ("otlp", repeated(report("127.1.0.1:9000"), 300)),
+    "reports on new tasks": ("otlp", reports_on_new_tasks),
+    "invalid reports": ("otlp", repeated(REPORT_HEAD % 3 + b"\xff\xff\xff")),
+    "requests for weights": ("sasp", repeated(encode(5, GetWeights(())), 500)),
+    "new load balancers": ("sasp", new_uids),
+}
+
+
+class Drains:
+    """Members whose removal a load balancer has to be told within the grace."""
+
+    def __init__(self, serve_process):
+        self.agent = MemberRegistrar(("127.0.0.1", serve_process.ports["sasp"]), "shelf")
+        self.agent.register(MEMBERS)
+        time.sleep(0.6)
+        self.balancer = LoadBalancerClient(
+            ("127.0.0.1", serve_process.ports["sasp"]), "gw-1", source="127.1.0.200", timeout=10
+        )
+        self.balancer.start(GROUPS, True)
+        self.held = HeldWeights()
+        self.wait_for(MEMBERS, 5.0)
+
+    def wait_for(self, members, seconds):
+        """Wait until the load balancer holds these members; fail after this time."""
+        deadline_s = time.monotonic() + seconds
+        while {member.host for member in self.held.lines(GROUPS[0])} != {member.host for member in members}:
+            _, message = self.balancer.receive(timeout=max(0.001, deadline_s - time.monotonic()))
+            self.held.handle_message(message.groups)
+
+    def check(self, times):
+        """Drain members one after the other."""
+        for number in range(times):
+            told_s = time.monotonic()
+            self.agent.deregister([MEMBERS[number]])
+            self.wait_for(MEMBERS[number + 1 :], told_s + DRAIN_GRACE_S - time.monotonic())
+
+
+@pytest.mark.parametrize(("protocol", "make_messages"), STREAM_FLOODS.values(), ids=STREAM_FLOODS)
+def test_drains_keep_their_grace_while_one_client_floods_serve(serve, protocol, make_messages):
+    # Guards against requests sent ahead on one connection that keep all other connections from being served.
+    process = serve()
+    drains = Drains(process)
+    flood = Flood(("127.0.0.1", process.ports[protocol]), b"", make_messages, source=ATTACKER)
+    time.sleep(0.5)
+    drains.check(3)
+    process.get_status(DRAIN_GRACE_S)
+    flood.stop()
+    assert process.memory.peak_mb < MEMORY_LIMIT_MB
+
+
+@pytest.mark.parametrize("kind", ["acks", "requests"])
+def test_drains_keep_their_grace_while_a_subscriber_floods_serve(serve, kind):
+    # Guards against a pub-sub socket that is read without a pause as long as messages wait in its queue.
+    process = serve()
+    drains = Drains(process)
+    context = zmq.Context()
+    sock = context.socket(zmq.PUSH if kind == "acks" else zmq.DEALER)
+    sock.linger = 0
+    sock.connect(f"tcp://127.0.0.1:{process.collector_port if kind == 'acks' else process.ports['clone']}")
+    parts = [b"/proxy/x/ack", bytes(8), b"u" * 16, b"", b"{}"] if kind == "acks" else [b"ICANHAZ?", b"/unknown/"]
+    stopped = threading.Event()
+
+    def send():
+        while not stopped.is_set():
+            try:
+                sock.send_multipart(parts, zmq.NOBLOCK)
+            except zmq.Again:
+                time.sleep(0.0005)
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    try:
+        time.sleep(0.5)
+        drains.check(3)
+        process.get_status(DRAIN_GRACE_S)
+    finally:
+        stopped.set()
+        thread.join()
+        context.destroy(0)
+
+
+def test_drains_keep_their_grace_while_datagrams_flood_the_peer_address(serve):
+    # Guards against a peer address that is read without a pause as long as datagrams arrive.
+    process = serve(peers=True)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.connect(("127.0.0.1", process.ports["peers"]))
+    stopped = threading.Event()
+
+    def send():
+        while not stopped.is_set():
+            sock.send(b"x" * 100)
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    try:
+        time.sleep(0.5)
+        for _ in range(3):
+            process.get_status(DRAIN_GRACE_S)
+    finally:
+        stopped.set()
+        thread.join()
+        sock.close()
