--- a/hollyridge/otlp/reading.py
+++ b/hollyridge/otlp/reading.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
 from typing import NamedTuple
 
 from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import ExportMetricsServiceRequest
@@ -38,6 +39,7 @@
 }
 CUMULATIVE = AggregationTemporality.AGGREGATION_TEMPORALITY_CUMULATIVE
 DELTA = AggregationTemporality.AGGREGATION_TEMPORALITY_DELTA
+MAX_ATTRIBUTES = 128  # attributes read of one resource or data point
 MAX_SOURCE_CHARS = 64  # longest prefix used of a name that a source gives itself
 NOT_ALLOWED = -1  # index of a zone or proxy for which the source may not report
 # Reasons for which a data point does not count. They are keys of the status page and part of responses.
@@ -225,5 +227,6 @@
 
 
 def string_attributes(pairs: Iterable[KeyValue]) -> dict[str, str]:
-    """Return the attributes with string values."""
-    return {pair.key: pair.value.string_value for pair in pairs if pair.value.HasField("string_value")}
+    """Return the attributes with string values, from the first `MAX_ATTRIBUTES` attributes."""
+    considered = islice(pairs, MAX_ATTRIBUTES)
+    return {pair.key: pair.value.string_value for pair in considered if pair.value.HasField("string_value")}
--- a/hollyridge/otlp/request_body.py
+++ b/hollyridge/otlp/request_body.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -13,12 +14,16 @@
 from google.protobuf import json_format
 from google.protobuf.message import DecodeError
 from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import ExportMetricsServiceRequest
+from opentelemetry.proto.metrics.v1.metrics_pb2 import Metric
 
 from hollyridge.otlp.errors import BadRequestError
 
 MAX_INFLATION = 8  # limit on a decompressed body, as a multiple of the limit on a body as sent
+MAX_JSON_INFLATION = 2  # the same for JSON, which takes much more memory when decoded
 MAX_JSON_DEPTH = 32  # limit on nested messages; metrics need fewer than ten levels
-THREAD_MIN_BYTES = 64 * 1024  # bodies of at least this size are decoded in a thread, so as not to block all streams
+# Bodies of at least this size, decompressed or as sent, are decoded in a thread, so as not to block all streams.
+THREAD_MIN_BYTES = 64 * 1024
+MAX_ENTRIES = 100_000  # resources, scopes, metrics and data points of one report
 GZIP_WINDOW_BITS = 31  # selects the largest window and a gzip header in zlib
 
 
@@ -82,12 +87,23 @@
     Raises:
         BadRequestError: The body is invalid or too large.
     """
-    max_bytes = MAX_INFLATION * max_body_bytes
-    if len(raw) >= THREAD_MIN_BYTES:
+    max_bytes = (MAX_JSON_INFLATION if encoding.is_json else MAX_INFLATION) * max_body_bytes
+    if is_large(raw, encoding):
         return gevent.get_hub().threadpool.apply(parse, (raw, encoding, max_bytes))
     return parse(raw, encoding, max_bytes)
 
 
+def is_large(raw: bytes, encoding: BodyEncoding) -> bool:
+    """Return whether a body has `THREAD_MIN_BYTES` as sent or, as far as it can be decompressed, decompressed."""
+    if len(raw) >= THREAD_MIN_BYTES or not encoding.gzipped:
+        return len(raw) >= THREAD_MIN_BYTES
+    try:
+        start = zlib.decompressobj(wbits=GZIP_WINDOW_BITS).decompress(raw, THREAD_MIN_BYTES)
+    except zlib.error:
+        return False
+    return len(start) >= THREAD_MIN_BYTES
+
+
 def parse(raw: bytes, encoding: BodyEncoding, max_bytes: int) -> ExportMetricsServiceRequest:
     """Decode a body that has at most `max_bytes` after decompression.
 
@@ -97,12 +113,44 @@
     body = decompress(raw, max_bytes) if encoding.gzipped else raw
     try:
         if encoding.is_json:
-            return json_format.Parse(
+            export = json_format.Parse(
                 body, ExportMetricsServiceRequest(), ignore_unknown_fields=True, max_recursion_depth=MAX_JSON_DEPTH
             )
-        return ExportMetricsServiceRequest.FromString(body)
+        else:
+            export = ExportMetricsServiceRequest.FromString(body)
     except (DecodeError, json_format.ParseError, UnicodeDecodeError, RecursionError, ValueError):
         raise BadRequestError(HTTPStatus.BAD_REQUEST, "the body is no metrics request") from None
+    check_entry_count(export)
+    return export
+
+
+def check_entry_count(export: ExportMetricsServiceRequest) -> None:
+    """Check the number of resources, scopes, metrics and data points in all.
+
+    Raises:
+        BadRequestError: There are more than `MAX_ENTRIES`.
+    """
+    entries = 0
+    for count in entry_counts(export):
+        entries += count
+        if entries > MAX_ENTRIES:
+            raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"a report of over {MAX_ENTRIES} entries")
+
+
+def entry_counts(export: ExportMetricsServiceRequest) -> Iterator[int]:
+    """Yield the number of entries in each list of a report, outer lists first."""
+    yield len(export.resource_metrics)
+    for resource in export.resource_metrics:
+        yield len(resource.scope_metrics)
+        for scope in resource.scope_metrics:
+            yield len(scope.metrics)
+            yield from map(count_points, scope.metrics)
+
+
+def count_points(metric: Metric) -> int:
+    """Return the number of data points of a metric of any type."""
+    data_type = metric.WhichOneof("data")
+    return len(getattr(metric, data_type).data_points) if data_type is not None else 0
 
 
 def decompress(raw: bytes, max_bytes: int) -> bytes:
--- a/hollyridge/sasp/server.py
+++ b/hollyridge/sasp/server.py
@@ -154,6 +154,7 @@
         """Release the state of a connection that has ended."""
         now = self.clock()
         self.transport.unacknowledged.pop(connection.number, None)
+        self.transport.buffers.release(connection.number)
         self.session_tracker.end(connection.number)
         if self.forget(now, connection):
             self.ownership.release(connection.uid)
--- a/hollyridge/sasp/transport.py
+++ b/hollyridge/sasp/transport.py
@@ -15,6 +15,7 @@
 
 from hollyridge.core.input_turns import TurnCounter
 from hollyridge.core.stream_server import connection_lost_reason
+from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.connection_limiter import TokenBucket
 from hollyridge.sasp import codec
 from hollyridge.sasp.connection import Connection, SentMark
@@ -23,7 +24,8 @@
     from hollyridge.sasp.server import SaspServer
 
 MAX_WAITING_REPLIES = 64  # from this number on, no more requests of the connection are handled
-RECEIVE_BYTES = 65536
+RECEIVE_BYTES = 16384
+MAX_BUFFERED_BYTES = 16 << 20  # in unfinished frames of all connections together
 BACKPRESSURE_SLEEP_S = 0.02  # interval between checks of whether reading may continue
 MONITOR_INTERVAL_S = 0.02  # interval between checks of acknowledged bytes
 OVERDUE_EVERY = 5  # number of monitor intervals between checks for overdue connections
@@ -36,6 +38,7 @@
 
     Attributes:
         unacknowledged: Connections that may have sent bytes without acknowledgement, by number.
+        buffers: Budget of the bytes in unfinished frames.
     """
 
     def __init__(self, server: SaspServer) -> None:
@@ -43,6 +46,7 @@
         self.config = server.config
         self.clock = server.clock
         self.unacknowledged: dict[int, Connection] = {}
+        self.buffers = BufferBudget(max(MAX_BUFFERED_BYTES, self.config.max_message_bytes))
 
     def set_options(self, sock: plain.socket) -> None:
         """Set the options of an accepted socket."""
@@ -78,6 +82,7 @@
                 self.server.counts["frames_in"] += 1
                 self.server.handle_message(connection, frame)
                 frame_began_us = self.clock()
+            self._limit_buffers(connection, len(framer.buffer))
             if framer.partial and len(framer.buffer) == len(chunk):
                 frame_began_us = self.clock()
 
@@ -101,6 +106,12 @@
         while len(connection.replies) >= MAX_WAITING_REPLIES and not connection.close_reason:
             gevent.sleep(BACKPRESSURE_SLEEP_S)
 
+    def _limit_buffers(self, connection: Connection, held_bytes: int) -> None:
+        """Record the bytes of an unfinished frame; close the connections with the most bytes if there are too many."""
+        for number in self.buffers.hold(connection.number, held_bytes):
+            if number in self.server.streams:
+                self.server.close(self.server.streams[number], "no room for unfinished frames of this size")
+
     # Writing.
 
     def write_until_closed(self, connection: Connection) -> None:
--- a/tests/test_service_hostile_clients.py
+++ b/tests/test_service_hostile_clients.py
@@ -1,16 +1,18 @@
-"""The process `hollyridge serve` while clients flood it."""
+"""The process `hollyridge serve` while clients flood it, or leave requests unfinished or connections idle."""
 
+import gzip
 import socket
 import threading
 import time
 
 import pytest
 import zmq
-from hostile_clients import Flood, ServeProcess, repeated
+from hostile_clients import Flood, ServeProcess, repeated, send_unfinished
 
 from hollyridge.otlp.sender import MetricPoint, build_export_request
 from hollyridge.sasp.client import HeldWeights, LoadBalancerClient, MemberRegistrar
 from hollyridge.sasp.codec import GetWeights, Member, SetBalancer, encode
+from hollyridge.sasp.framing import HEADER, HEADER_TYPE, VERSION
 
 GROUPS = ("read-chapter", "unlock-chapter", "redeem-code")
 MEMBERS = [Member.at(f"127.{1 + k % 3}.0.{k + 1}", 9000, f"t{k} run=a up=100") for k in range(6)]
@@ -132,6 +134,55 @@
         context.destroy(0)
 
 
+def unfinished_frame():
+    return HEADER.pack(HEADER_TYPE, HEADER.size, VERSION, 1 << 18, 1) + b"x" * 250_000
+
+
+LONG_HEAD = b"GET /status HTTP/1.1\r\n" + b"".join(b"a%d: %b\r\n" % (k, b"y" * 65_000) for k in range(98))
+UNFINISHED = {
+    "bodies": ("otlp", 300, REPORT_HEAD % (1 << 20) + bytes(1_000_000)),
+    "long heads": ("otlp", 100, LONG_HEAD),
+    "heads of many short fields": ("otlp", 600, b"GET / HTTP/1.1\r\n" + b"".join(b"a%d: 1\r\n" % k for k in range(99))),
+    "SASP frames": ("sasp", 600, unfinished_frame()),
+}
+
+
+@pytest.mark.parametrize(("protocol", "count", "data"), UNFINISHED.values(), ids=UNFINISHED)
+def test_unfinished_requests_stay_within_the_memory_limit_of_serve(serve, protocol, count, data):
+    # Guards against a process that is killed because hundreds of clients stop within large requests.
+    process = serve()
+    address = ("127.0.0.1", process.ports[protocol])
+    sockets = [
+        socket.create_connection(address, timeout=10, source_address=(f"127.0.1.{1 + number % 50}", 0))
+        for number in range(count)
+    ]
+    send_unfinished(sockets, data)
+    process.get_status(2.0)
+    assert process.memory.peak_mb < MEMORY_LIMIT_MB
+
+
+def test_idle_connections_make_room_for_newer_ones(serve):
+    # Guards against idle clients that occupy all connections, so that no other client is ever served.
+    process = serve()
+    address = ("127.0.0.1", process.ports["otlp"])
+    idle = [socket.create_connection(address, timeout=10, source_address=(ATTACKER, 0)) for _ in range(1100)]
+    process.get_status(2.0)
+    assert process.get_status(2.0)
+    for sock in idle:
+        sock.close()
+
+
+def test_a_small_compressed_report_of_very_many_entries_does_not_delay_others(serve):
+    # Guards against reports of 20 KB that decode to millions of entries, of which many are decoded at once.
+    process = serve()
+    body = gzip.compress(b"\x0a\x00" * 4_000_000)
+    head = REPORT_HEAD.replace(b"\r\n\r\n", b"\r\nContent-Encoding: gzip\r\n\r\n") % len(body)
+    sockets = [socket.create_connection(("127.0.0.1", process.ports["otlp"]), timeout=20) for _ in range(6)]
+    send_unfinished(sockets, head + body)
+    process.get_status(DRAIN_GRACE_S)
+    assert all(sock.recv(12) == b"HTTP/1.1 413" for sock in sockets)
+
+
 def test_drains_keep_their_grace_while_datagrams_flood_the_peer_address(serve):
     # Guards against a peer address that is read without a pause as long as datagrams arrive.
     process = serve(peers=True)
