SASP requests of a peer that has left are dropped while they wait

Need: an agent that sent more requests than its rate allows, closed and came back on a new connection lost all its members half a minute later, although connected: load balancers held no task at all. Cause: requests over the rate wait for up to some 30 s, also after the end of their connection. A registration among them takes the members from the newer connection, and the end of the old one starts their hold time. Change: while a request waits, the server asks whether the peer has closed the connection, and drops its requests then.

--- a/hollyridge/sasp/transport.py
+++ b/hollyridge/sasp/transport.py
@@ -14,6 +14,7 @@
 import gevent
 
 from hollyridge.core.input_turns import TurnCounter
+from hollyridge.core.peer_state import has_peer_closed
 from hollyridge.core.stream_server import connection_lost_reason
 from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.connection_limiter import TokenBucket
@@ -79,6 +80,8 @@
                 frame_began_us = self.clock()
             for frame in framer.feed(chunk):
                 self._apply_backpressure(connection, requests, counter)
+                if connection.close_reason:
+                    return
                 self.server.counts["frames_in"] += 1
                 self.server.handle_message(connection, frame)
                 frame_began_us = self.clock()
@@ -99,12 +102,26 @@
         return max(MIN_TIMEOUT_S, left_s)
 
     def _apply_backpressure(self, connection: Connection, requests: TokenBucket, counter: TurnCounter) -> None:
-        """Wait while the peer exceeds its request rate or does not read; its full TCP window then slows it down."""
-        counter.count()
+        """Wait while the peer exceeds its request rate or does not read; its full TCP window then slows it down.
+
+        A peer that leaves meanwhile has its connection closed, so that its requests are not handled afterwards.
+        """
+        waited = counter.count()
         while not requests.take(self.clock()) and not connection.close_reason:
+            waited = True
             gevent.sleep(BACKPRESSURE_SLEEP_S)
+            self._close_if_left(connection)
         while len(connection.replies) >= MAX_WAITING_REPLIES and not connection.close_reason:
+            waited = True
             gevent.sleep(BACKPRESSURE_SLEEP_S)
+            self._close_if_left(connection)
+        if waited:
+            self._close_if_left(connection)
+
+    @staticmethod
+    def _close_if_left(connection: Connection) -> None:
+        if not connection.close_reason and has_peer_closed(connection.sock):
+            connection.close_reason = "closed by the peer before its requests were handled"
 
     def _limit_buffers(self, connection: Connection, held_bytes: int) -> None:
         """Record the bytes of an unfinished frame; close the connections with the most bytes if there are too many."""
--- a/tests/sasp/test_sasp_server.py
+++ b/tests/sasp/test_sasp_server.py
@@ -261,3 +261,19 @@
         assert gw.receive(0.7) is None
     assert started_rig.engine.counts["messages"] == before["messages"]
     assert len(started_rig.engine.servers) == 1
+
+
+def test_requests_of_an_agent_that_has_left_are_not_handled_afterwards(rig):
+    # Guards against a registration that waits for its turn, takes members from the agent's newer connection, and ends.
+    started_rig = rig(roster__hold_agent_s=0.5)
+    members = MembersOf(Group("shelf", "members"), tuple(started_rig.members()))
+    group = started_rig.open(MemberRegistrar, "shelf").group
+    leaving = started_rig.raw()
+    leaving.sendall(codec.encode(1, codec.Register(False, (members._replace(group=group),))) * 200)
+    assert wait_for(lambda: started_rig.protocol_server.counts["frames_in"] >= 100)
+    leaving.close()
+    started_rig.agent()
+    gw = started_rig.balancer()
+    held, _ = started_rig.held_after(gw, seconds=3.5)
+    assert held == ALL
+    assert started_rig.protocol_server.counts["frames_in"] < 200
