--- a/hollyridge/core/input_turns.py
+++ b/hollyridge/core/input_turns.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-MAX_MESSAGES_PER_TURN = 64  # messages of one connection that are handled in a row
+MAX_MESSAGES_PER_TURN = 256  # messages of one connection that are handled in a row
 PAUSE_S = 0.001  # between two turns; a timer, so that sockets and timers are served meanwhile
 
 
