HTTP connections serve more than one request again; floods of tests are processes

Cause: the timer of a request's head was closed and started again, which a closed timer does not do. Change: each head has a timer of its own. The floods of the tests run in processes of their own and fail if they end: in a whole test run the threads of the test process are greenlets, and a flooding one never gave way (the run hung).

--- a/hollyridge/otlp/http_connections.py
+++ b/hollyridge/otlp/http_connections.py
@@ -121,7 +121,7 @@
     def __init__(self, sock: socket.socket, address: tuple, server: HttpServer) -> None:
         super().__init__(sock, address, server)
         self.connections = server.connections
-        self.head_timer = gevent.Timeout(server.config.head_timeout_s, TimeoutError)
+        self.head_timer: gevent.Timeout | None = None  # runs from the first byte of a request to the end of its head
         self.loop = gevent.get_hub().loop
         self.last_iteration = -1  # iteration of the event loop in which the last request ended
 
@@ -134,7 +134,7 @@
             self.socket.settimeout(SILENCE_TIMEOUT_S)
             super().handle()
         finally:
-            self.head_timer.close()
+            self._end_head()
             self.connections.remove(self)
 
     def abort(self) -> None:
@@ -148,16 +148,22 @@
         self.rfile.peek(1)
         if self.loop.iteration == self.last_iteration:  # the request was already there when the last one ended
             self.server.turns.wait()
-        self.head_timer.start()
+        self.head_timer = gevent.Timeout.start_new(self.server.config.head_timeout_s, TimeoutError)
         return super().read_requestline()
 
     def MessageClass(self, stream: BinaryIO, *arguments: object) -> object:  # noqa: N802 - name in the base class
         """Return the fields of the head."""
         return super().MessageClass(HeadReader(stream), *arguments)
 
+    def _end_head(self) -> None:
+        """Stop the timer of a head that is complete or whose connection has ended."""
+        if self.head_timer is not None:
+            self.head_timer.close()
+            self.head_timer = None
+
     def get_environ(self) -> dict:
         """Return the WSGI environment of a request whose head is complete."""
-        self.head_timer.close()
+        self._end_head()
         self.connections.resume(self)
         return {**super().get_environ(), CONNECTION_KEY: self}
 
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.client
 import json
+import pickle
 import socket
 import subprocess
 import sys
@@ -15,7 +16,6 @@
 
 from hollyridge.lab.stand_ins.ports import free_ports
 
-BYTES_PER_MB = 1 << 20
 SAMPLING_INTERVAL_S = 0.02
 
 
@@ -42,52 +42,29 @@
 
 
 class Flood:
-    """One client that repeats a message at full speed on one connection, until `stop`.
+    """A client that sends chunks over and over at full speed until `stop`, in a process of its own.
 
     Args:
-        address: Host and port.
-        opening: Bytes to send first.
-        make_messages: Function that returns bytes to send, given the number of calls so far.
-        reads: Whether the client reads what it is sent.
-        source: Address that the client connects from.
+        folder: Folder for the file with the chunks.
+        port: Port of the assigner on loopback.
+        chunks: Bytes, datagrams or lists of message parts.
+        opening: Bytes that a TCP client sends first; for ZeroMQ the type of its socket.
+        kind: Protocol: tcp, udp or zmq.
+        source: Address that the client sends from.
     """
 
-    def __init__(self, address, opening, make_messages, reads=True, source="127.0.0.1"):
-        self.sock = socket.create_connection(address, timeout=30, source_address=(source, 0))
-        self.opening, self.make_messages = opening, make_messages
-        self.stopped = threading.Event()
-        self.threads = [threading.Thread(target=self.write, daemon=True)]
-        if reads:
-            self.threads.append(threading.Thread(target=self.read, daemon=True))
-        for thread in self.threads:
-            thread.start()
-
-    def write(self):
-        calls = 0
-        with contextlib.suppress(OSError):
-            self.sock.sendall(self.opening)
-            while not self.stopped.is_set():
-                self.sock.sendall(self.make_messages(calls))
-                calls += 1
-
-    def read(self):
-        with contextlib.suppress(OSError):
-            while self.sock.recv(BYTES_PER_MB):
-                pass
+    def __init__(self, folder, port, chunks, opening=b"", kind="tcp", source="127.0.0.9"):
+        path = folder / "flood.pickle"
+        path.write_bytes(pickle.dumps((opening, chunks)))
+        program = Path(__file__).with_name("flooding_client.py")
+        arguments = [kind, "127.0.0.1", str(port), source, str(path)]
+        self.process = subprocess.Popen([sys.executable, str(program), *arguments], stderr=subprocess.DEVNULL)
 
     def stop(self):
-        self.stopped.set()
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        for thread in self.threads:
-            thread.join(5)
-        self.sock.close()
-
-
-def repeated(message, times=1000):
-    """Return a function for `Flood` that always returns this message, many times over."""
-    messages = message * times
-    return lambda calls: messages
+        """End the client; fail if it has ended by itself, since nothing was flooded then."""
+        assert self.process.poll() is None
+        self.process.kill()
+        self.process.wait(10)
 
 
 def send_unfinished(sockets, data):
--- a/tests/node/test_node_hostile_clients.py
+++ b/tests/node/test_node_hostile_clients.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from hostile_clients import Flood, PeakMemory, repeated, send_unfinished
+from hostile_clients import Flood, PeakMemory, send_unfinished
 from stand_ins import (
     METHOD_NAMES,
     SETTINGS,
@@ -37,9 +37,9 @@
 )
 
 
-def unknown_endpoints(calls):
-    """Return reports on tasks that were never listed, with new names at each call."""
-    names = (f"n-{calls}-{number}" for number in range(200))
+def unknown_endpoints(chunk):
+    """Return reports on tasks that were never listed."""
+    names = (f"n-{chunk}-{number}" for number in range(200))
     reports = (
         message("upstream_stats", locality=ZONES[0], endpoint=name, total=4, errors=0, rtt=9.0, interval=400.0)
         for name in names
@@ -48,12 +48,12 @@
 
 
 FLOODS = {
-    "heartbeats of a proxy": (PROXY, repeated(message("hb"))),
-    "heartbeats of a collector": (COLLECTOR, repeated(message("hb"))),
-    "reports of a proxy": (PROXY, repeated(OFFERED_LOAD)),
-    "reports of a collector": (COLLECTOR, repeated(TRAFFIC)),
-    "unknown endpoints": (COLLECTOR, unknown_endpoints),
-    "unknown messages": (PROXY, repeated(message("x"))),
+    "heartbeats of a proxy": (PROXY, [message("hb") * 1000]),
+    "heartbeats of a collector": (COLLECTOR, [message("hb") * 1000]),
+    "reports of a proxy": (PROXY, [OFFERED_LOAD * 1000]),
+    "reports of a collector": (COLLECTOR, [TRAFFIC * 1000]),
+    "unknown endpoints": (COLLECTOR, [unknown_endpoints(chunk) for chunk in range(100)]),
+    "unknown messages": (PROXY, [message("x") * 1000]),
 }
 
 
@@ -67,15 +67,15 @@
     discovery.stop()
 
 
-@pytest.mark.parametrize(("opening", "make_messages"), FLOODS.values(), ids=FLOODS)
-def test_drains_keep_their_grace_while_one_client_floods(node, opening, make_messages):
+@pytest.mark.parametrize(("opening", "chunks"), FLOODS.values(), ids=FLOODS)
+def test_drains_keep_their_grace_while_one_client_floods(node, tmp_path, opening, chunks):
     # Guards against one busy connection that delays the decisions and all other connections by seconds.
     assigner, discovery = node
     proxies = [RespClient(assigner.port, number, number % 2) for number in range(1, 7)]
     for proxy in proxies:
         proxy.wait_for_table(TASKS)
     memory = PeakMemory(assigner.process)
-    flood = Flood(("127.0.0.1", assigner.port), opening, make_messages)
+    flood = Flood(tmp_path, assigner.port, chunks, opening)
     time.sleep(1)
     remaining = set(TASKS)
     for number in range(2):
--- a/tests/test_service_hostile_clients.py
+++ b/tests/test_service_hostile_clients.py
@@ -2,12 +2,10 @@
 
 import gzip
 import socket
-import threading
 import time
 
 import pytest
-import zmq
-from hostile_clients import Flood, ServeProcess, repeated, send_unfinished
+from hostile_clients import Flood, ServeProcess, send_unfinished
 
 from hollyridge.otlp.sender import MetricPoint, build_export_request
 from hollyridge.sasp.client import HeldWeights, LoadBalancerClient, MemberRegistrar
@@ -42,22 +40,22 @@
     return REPORT_HEAD % len(body) + body
 
 
-def reports_on_new_tasks(calls):
-    return b"".join(report(f"127.9.{calls % 250}.{number}:{1 + calls}") for number in range(1, 200))
+def reports_on_new_tasks(chunk):
+    return b"".join(report(f"127.9.{chunk}.{number}:{1 + chunk}") for number in range(1, 200))
 
 
-def new_uids(calls):
-    return b"".join(encode(number, SetBalancer(f"gw-{calls}-{number}", 127, 0)) for number in range(200))
+def new_uids(chunk):
+    return b"".join(encode(number, SetBalancer(f"gw-{chunk}-{number}", 127, 0)) for number in range(200))
 
 
 STREAM_FLOODS = {
-    "pages": ("otlp", repeated(b"GET /status HTTP/1.1\r\n\r\n", 500)),
-    "empty reports": ("otlp", repeated(REPORT_HEAD % 0)),
-    "reports": ("otlp", repeated(report("127.1.0.1:9000"), 300)),
-    "reports on new tasks": ("otlp", reports_on_new_tasks),
-    "invalid reports": ("otlp", repeated(REPORT_HEAD % 3 + b"\xff\xff\xff")),
-    "requests for weights": ("sasp", repeated(encode(5, GetWeights(())), 500)),
-    "new load balancers": ("sasp", new_uids),
+    "pages": ("otlp", [b"GET /status HTTP/1.1\r\n\r\n" * 500]),
+    "empty reports": ("otlp", [(REPORT_HEAD % 0) * 1000]),
+    "reports": ("otlp", [report("127.1.0.1:9000") * 300]),
+    "reports on new tasks": ("otlp", [reports_on_new_tasks(chunk) for chunk in range(200)]),
+    "invalid reports": ("otlp", [(REPORT_HEAD % 3 + b"\xff\xff\xff") * 1000]),
+    "requests for weights": ("sasp", [encode(5, GetWeights(())) * 500]),
+    "new load balancers": ("sasp", [new_uids(chunk) for chunk in range(200)]),
 }
 
 
@@ -90,12 +88,12 @@
             self.wait_for(MEMBERS[number + 1 :], told_s + DRAIN_GRACE_S - time.monotonic())
 
 
-@pytest.mark.parametrize(("protocol", "make_messages"), STREAM_FLOODS.values(), ids=STREAM_FLOODS)
-def test_drains_keep_their_grace_while_one_client_floods_serve(serve, protocol, make_messages):
+@pytest.mark.parametrize(("protocol", "chunks"), STREAM_FLOODS.values(), ids=STREAM_FLOODS)
+def test_drains_keep_their_grace_while_one_client_floods_serve(serve, tmp_path, protocol, chunks):
     # Guards against requests sent ahead on one connection that keep all other connections from being served.
     process = serve()
     drains = Drains(process)
-    flood = Flood(("127.0.0.1", process.ports[protocol]), b"", make_messages, source=ATTACKER)
+    flood = Flood(tmp_path, process.ports[protocol], chunks)
     time.sleep(0.5)
     drains.check(3)
     process.get_status(DRAIN_GRACE_S)
@@ -103,35 +101,23 @@
     assert process.memory.peak_mb < MEMORY_LIMIT_MB
 
 
-@pytest.mark.parametrize("kind", ["acks", "requests"])
-def test_drains_keep_their_grace_while_a_subscriber_floods_serve(serve, kind):
+SUBSCRIBER_FLOODS = {
+    "acks": (b"PUSH", [b"/proxy/x/ack", bytes(8), b"u" * 16, b"", b"{}"]),
+    "requests": (b"DEALER", [b"ICANHAZ?", b"/unknown/"]),
+}
+
+
+@pytest.mark.parametrize(("socket_type", "parts"), SUBSCRIBER_FLOODS.values(), ids=SUBSCRIBER_FLOODS)
+def test_drains_keep_their_grace_while_a_subscriber_floods_serve(serve, tmp_path, socket_type, parts):
     # Guards against a pub-sub socket that is read without a pause as long as messages wait in its queue.
     process = serve()
     drains = Drains(process)
-    context = zmq.Context()
-    sock = context.socket(zmq.PUSH if kind == "acks" else zmq.DEALER)
-    sock.linger = 0
-    sock.connect(f"tcp://127.0.0.1:{process.collector_port if kind == 'acks' else process.ports['clone']}")
-    parts = [b"/proxy/x/ack", bytes(8), b"u" * 16, b"", b"{}"] if kind == "acks" else [b"ICANHAZ?", b"/unknown/"]
-    stopped = threading.Event()
-
-    def send():
-        while not stopped.is_set():
-            try:
-                sock.send_multipart(parts, zmq.NOBLOCK)
-            except zmq.Again:
-                time.sleep(0.0005)
-
-    thread = threading.Thread(target=send)
-    thread.start()
-    try:
-        time.sleep(0.5)
-        drains.check(3)
-        process.get_status(DRAIN_GRACE_S)
-    finally:
-        stopped.set()
-        thread.join()
-        context.destroy(0)
+    port = process.collector_port if socket_type == b"PUSH" else process.ports["clone"]
+    flood = Flood(tmp_path, port, [parts], socket_type, "zmq")
+    time.sleep(1.0)
+    drains.check(3)
+    process.get_status(DRAIN_GRACE_S)
+    flood.stop()
 
 
 def unfinished_frame():
@@ -183,24 +169,11 @@
     assert all(sock.recv(12) == b"HTTP/1.1 413" for sock in sockets)
 
 
-def test_drains_keep_their_grace_while_datagrams_flood_the_peer_address(serve):
+def test_status_pages_are_served_while_datagrams_flood_the_peer_address(serve, tmp_path):
     # Guards against a peer address that is read without a pause as long as datagrams arrive.
     process = serve(peers=True)
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.connect(("127.0.0.1", process.ports["peers"]))
-    stopped = threading.Event()
-
-    def send():
-        while not stopped.is_set():
-            sock.send(b"x" * 100)
-
-    thread = threading.Thread(target=send)
-    thread.start()
-    try:
-        time.sleep(0.5)
-        for _ in range(3):
-            process.get_status(DRAIN_GRACE_S)
-    finally:
-        stopped.set()
-        thread.join()
-        sock.close()
+    flood = Flood(tmp_path, process.ports["peers"], [b"x" * 100], kind="udp")
+    time.sleep(1.0)
+    for _ in range(3):
+        process.get_status(DRAIN_GRACE_S)
+    flood.stop()
