Whether a peer has closed is asked of the system, also where gevent has patched select

Need: in a whole test run two tests and a doctest failed: a peer that had closed was taken for open. Cause: another test module patches select, and gevent's poll does not report the end of the peer's side. Change: the unpatched poll is used. Result: the three failed in the whole run before; they pass now with and without the patch.

--- a/hollyridge/core/peer_state.py
+++ b/hollyridge/core/peer_state.py
@@ -5,6 +5,9 @@
 import select
 import socket
 
+from gevent.monkey import get_original
+
+poll = get_original("select", "poll")  # gevent's own does not report that the peer has closed its side
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -15,10 +18,10 @@
     >>> peer.sendall(b"request"), has_peer_closed(ours), peer.close(), has_peer_closed(ours)
     (None, False, None, True)
     """
-    poll = select.poll()
+    poller = poll()
     try:
-        poll.register(sock.fileno(), select.POLLRDHUP)
-        events = poll.poll(0)
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        events = poller.poll(0)
     except (OSError, ValueError):  # this side has closed the socket
         return True
     return any(event & CLOSED_EVENTS for _, event in events)
