Urgent messages are spaced so that the limit on messages holds out in a deploy

Cause: removals were sent one by one until 18 of 30 messages were used, so that the count ran out; spacing failed where other changes were deferred; two zones' tables were published at different times, one message for each. Change: the number of messages without an interval and the interval of further ones follow from the limit, the grace and the transit time. Removals of all tables go together. Other changes keep the interval or travel with removals. New tests fail on (0.95 s waiting instead of 0.9; the others lack the function) and pass now. Tests of decisions passed.

--- a/hollyridge/decisions/backlog.py
+++ b/hollyridge/decisions/backlog.py
@@ -13,6 +13,7 @@
 LOST_CHANNEL_PACE_DIVISOR = 8  # lines on a lost channel count as delivered at 1/8 of the channel's pace
 HARD_LIMIT_FRACTION = 0.9  # part of the maximum backlog that urgent lines may fill
 URGENT_MESSAGES_FRACTION = 0.95  # part of a proxy's message limit that is open to urgent changes
+SPACING_DIVISOR = 2  # urgent messages wait for at most half of the grace that the longest transit leaves
 NONURGENT_MESSAGES_FRACTION = 0.6  # part of a proxy's message limit that is open to other changes
 ACK_LINES = 1  # lines that the request for an acknowledgement costs in a message
 MARK_COUNT = 65536  # marks are 16-bit numbers that wrap around
@@ -30,6 +31,9 @@
         sent: Total lines sent, overhead included.
         delivered: Lines proven to have left.
         soft_backlog_limit: Maximum backlog for non-urgent lines; a removal behind such a backlog arrives in time.
+        max_spacing_us: Longest time for which urgent lines may wait for the next message.
+        unspaced_messages: Number of messages to a proxy that may follow each other at once.
+        message_interval_us: Interval between further messages to a proxy.
         message_times_us: Times of recent messages by proxy; kept only where their number is limited.
     """
 
@@ -46,6 +50,9 @@
         self.marked_messages = 0  # messages of the last mark's batch
         self.acknowledged_by: set[int] = set()  # proxies that have acknowledged that batch
         self.message_times_us: dict[int, deque[int]] = {}
+        self._message_window_us = config.message_count_window_us + config.max_transit_us
+        self.max_spacing_us = max(0, config.drain_grace_us - config.max_transit_us) // SPACING_DIVISOR
+        self.unspaced_messages, self.message_interval_us = self._spacing()
         self.batch = 0
         self.last_batch: dict[int, int] = {}  # number of the last batch with a message, by proxy
 
@@ -88,16 +95,30 @@
         """Return whether the backlog has reached this many soft limits, so that non-urgent lines are held back."""
         return self.waiting() >= soft_limits * self.soft_backlog_limit
 
-    def messages_are_scarce(self, proxies: list[int]) -> bool:
-        """Return whether one of these proxies may get no further non-urgent message."""
-        limit = NONURGENT_MESSAGES_FRACTION * self.config.max_messages_per_proxy
-        return limit > 0 and any(len(self.message_times_us.get(proxy, ())) + 1 > limit for proxy in proxies)
+    def next_urgent_message_us(self, now_us: int, proxies: list[int]) -> int:
+        """Return the time until which an urgent message to all of these proxies should wait, if it can.
 
-    def free_lines(self, now_us: int, proxies: list[int], urgent: bool) -> int:
-        """Return the number of lines that may be sent to each of these proxies now."""
+        A number of messages may follow each other at once, the others come at intervals. Together they stay within the
+        limit, which would otherwise be used up so that no table could be changed until the oldest ones expire.
+        """
+        if self.config.max_messages_per_proxy <= 0:
+            return now_us
+        return max((self._next_message_us(now_us, proxy) for proxy in proxies), default=now_us)
+
+    def free_lines(self, now_us: int, proxies: list[int], urgent: bool, beside_urgent: bool = False) -> int:
+        """Return the number of lines that may be sent to each of these proxies now.
+
+        Args:
+            now_us: The time, in microseconds.
+            proxies: The recipients.
+            urgent: Whether the lines are urgent.
+            beside_urgent: Whether each recipient gets urgent lines anyway, so that the others need no further message.
+        """
         if not proxies:
             return UNLIMITED_LINES
-        if self.config.max_messages_per_proxy > 0 and not self._may_send_message(now_us, proxies, urgent):
+        if self.config.max_messages_per_proxy > 0 and not self._may_send_message(
+            now_us, proxies, urgent or beside_urgent
+        ):
             return 0
         waiting = self.waiting()
         free_per_proxy = (HARD_LIMIT_FRACTION * self.config.max_waiting_lines - waiting) / len(proxies)
@@ -142,18 +163,42 @@
             SOFT_LIMIT_PERIODS * config.report_period_us * config.lines_per_s / MICROSECONDS_PER_SECOND,
         )
 
+    def _spacing(self) -> tuple[int, int]:
+        """Return how many messages need no interval, as many as possible, and the interval between further ones."""
+        limit = URGENT_MESSAGES_FRACTION * self.config.max_messages_per_proxy
+        if limit <= 0 or self.max_spacing_us <= 0:
+            return 0, 0
+        mean_interval_us = self._message_window_us / limit
+        unspaced_fraction = min(NONURGENT_MESSAGES_FRACTION, max(0.0, 1 - mean_interval_us / self.max_spacing_us))
+        interval_us = min(self.max_spacing_us, mean_interval_us / (1 - unspaced_fraction))
+        return int(unspaced_fraction * limit), round(interval_us)
+
     def _may_send_message(self, now_us: int, proxies: list[int], urgent: bool) -> bool:
-        """Return whether each of these proxies stays within its message limit.
+        """Return whether each of these proxies stays within its message limit; non-urgent messages keep the interval.
 
         A proxy that already has a message in the current batch needs no further one.
         """
         fraction = URGENT_MESSAGES_FRACTION if urgent else NONURGENT_MESSAGES_FRACTION
         limit = fraction * self.config.max_messages_per_proxy
-        since_us = now_us - self.config.message_count_window_us - self.config.max_transit_us
         for proxy in proxies:
-            times_us = self.message_times_us.setdefault(proxy, deque())
-            while times_us and times_us[0] < since_us:
-                times_us.popleft()
-            if len(times_us) + (self.last_batch.get(proxy) != self.batch) > limit:
+            times_us = self._recent_messages(now_us, proxy)
+            needs_message = self.last_batch.get(proxy) != self.batch
+            if len(times_us) + needs_message > limit:
+                return False
+            if needs_message and not urgent and self._next_message_us(now_us, proxy) > now_us:
                 return False
         return True
+
+    def _next_message_us(self, now_us: int, proxy: int) -> int:
+        """Return the time at which the next message to a proxy keeps the interval."""
+        times_us = self._recent_messages(now_us, proxy)
+        if not times_us or len(times_us) < self.unspaced_messages:
+            return now_us
+        return max(now_us, times_us[-1] + self.message_interval_us)
+
+    def _recent_messages(self, now_us: int, proxy: int) -> deque[int]:
+        """Return the times of a proxy's messages that still count, oldest first."""
+        times_us = self.message_times_us.setdefault(proxy, deque())
+        while times_us and times_us[0] < now_us - self._message_window_us:
+            times_us.popleft()
+        return times_us
--- a/hollyridge/decisions/channel_fit.py
+++ b/hollyridge/decisions/channel_fit.py
@@ -91,7 +91,9 @@
         """
         proxies, published = table.proxies, table.weights
         free_urgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=True)
-        free_nonurgent = self.backlog.free_lines(batch.snapshot.now_us, proxies, urgent=False)
+        free_nonurgent = self.backlog.free_lines(
+            batch.snapshot.now_us, proxies, urgent=False, beside_urgent=bool(change.removed)
+        )
         free_after_removals = max(0, free_nonurgent - len(change.removed))
         unlisted = _unlisted_cold(table, wanted, change.removed, batch)
         removed = change.removed + unlisted[:free_after_removals]
--- a/hollyridge/decisions/publisher.py
+++ b/hollyridge/decisions/publisher.py
@@ -41,6 +41,7 @@
         backlog: BacklogEstimator,
     ) -> None:
         self.max_removal_delay_us = drain_grace_us // REMOVAL_DELAY_DIVISOR
+        self.removals_since_us: dict[int, int] = {}  # time since which a table's removals have waited, by table
         self.planner = planner
         self.tables = planner.tables
         self.channel_fitter = ChannelFitter(planner.cold_tables, planner.tables, backlog)
@@ -54,11 +55,13 @@
         """Return the commands that are due; with `push`, include changed weights."""
         sent_before = self.backlog.sent
         batch = self._start_batch(now_us, push)
+        removals = self._urgent_removals(batch)
+        delayed = self._delay_removals(removals, batch)
         commands: list[Command] = []
         # The overflow table is published before the zones' tables, since it serves the methods that leave those.
         for number in reversed(range(len(self.tables))):
-            if not self.tables.is_unused_slice(number):
-                commands += self._publish_table(number, batch)
+            if not (delayed and number in removals) and not self.tables.is_unused_slice(number):
+                commands += self._publish_table(number, removals.get(number, []), batch)
         commands += self.tables.bind_pending(now_us, self.backlog, self.estimates.joined_at_us)
         return commands + self.backlog.request_ack(sent_before)
 
@@ -77,38 +80,63 @@
             has_waiting_proxies=self.tables.detect_join_wave(self.backlog.soft_backlog_limit),
         )
 
-    def _publish_table(self, number: int, batch: Batch) -> list[Command]:
+    def _publish_table(self, number: int, removed: list[int], batch: Batch) -> list[Command]:
         table = self.tables[number]
         wanted = self.planner.contents(number, batch.snapshot)
         table.awaits_lines = bool(wanted.weights) or not self.planner.endpoints.state
-        removed = self._urgent_removals(table, batch)
-        if removed and self._can_delay(number, removed, batch):
-            self.has_deferred = True
-            return []
         due = TableChange(removed, self._changed_lines(number, wanted, removed, batch), {})
         change = self.channel_fitter.fit(number, wanted, due, batch, partial(self._changed_levels, number))
         self.has_deferred = self.has_deferred or change.is_deferred
         self.backlog.reserve(batch.snapshot.now_us, table.proxies, change.lines())
         return self._apply(number, table, wanted, change)
 
-    @staticmethod
-    def _urgent_removals(table: Table, batch: Batch) -> list[int]:
-        """Return the tasks that are no longer ready, and those that restarted while they were listed as warm."""
-        ready, cold, caps = batch.snapshot.factors, batch.cold, table.caps
-        return [task for task in table.weights if task not in ready or (task in cold and caps[task] >= WARM)]
+    def _urgent_removals(self, batch: Batch) -> dict[int, list[int]]:
+        """Return the tasks to remove from each table, for tables that have any.
+
+        These are tasks that are no longer ready, and those that restarted while they were listed as warm.
+        """
+        ready, cold = batch.snapshot.factors, batch.cold
+        removals: dict[int, list[int]] = {}
+        for number in range(len(self.tables)):
+            if self.tables.is_unused_slice(number):
+                continue
+            table = self.tables[number]
+            removed = [
+                task for task in table.weights if task not in ready or (task in cold and table.caps[task] >= WARM)
+            ]
+            if removed:
+                removals[number] = removed
+        return removals
+
+    def _delay_removals(self, removals: dict[int, list[int]], batch: Batch) -> bool:
+        """Return whether all removals wait for further ones.
+
+        Tables share proxies, so that all waiting removals are sent as soon as those of one table cannot wait.
+        """
+        for number in removals:
+            self.removals_since_us.setdefault(number, batch.snapshot.now_us)
+        if removals and all(self._can_delay(number, removed, batch) for number, removed in removals.items()):
+            self.has_deferred = True
+            return True
+        self.removals_since_us.clear()
+        return False
 
     def _can_delay(self, number: int, removed: list[int], batch: Batch) -> bool:
         """Return whether removals may wait for further removals, which saves overhead and messages.
 
-        They may wait behind a long queue, where the delay costs nothing, or while few messages are left. They may not
-        wait if they would remove the table's last line.
+        They may wait behind a long queue, where the delay costs nothing, or until the next message to the proxies is
+        due. They may not wait if they would remove the table's last line.
         """
         table = self.tables[number]
-        if not batch.may_delay or len(removed) >= len(table.weights):
+        now_us = batch.snapshot.now_us
+        if len(removed) >= len(table.weights):
             return False
         if not table.proxies and number > self.tables.overflow:
             return False
-        return batch.queue_is_long or self.backlog.messages_are_scarce(table.proxies)
+        if batch.may_delay and batch.queue_is_long:
+            return True
+        next_message_us = self.backlog.next_urgent_message_us(now_us, table.proxies)
+        return now_us < min(next_message_us, self.removals_since_us[number] + self.backlog.max_spacing_us)
 
     def _changed_lines(self, number: int, wanted: TableContents, removed: list[int], batch: Batch) -> list[int]:
         """Return the tasks whose lines are to be set or removed, apart from the urgent removals.
--- a/tests/decisions/test_decisions_backlog.py
+++ b/tests/decisions/test_decisions_backlog.py
@@ -1,5 +1,7 @@
 """The backlog: lines that acknowledgements prove to be delivered, and lines that are free to send."""
 
+import itertools
+
 import pytest
 from helpers import SECOND, START, assigner_config
 
@@ -80,3 +82,21 @@
         ).soft_backlog_limit
         == limit_lines
     )
+
+
+@pytest.mark.parametrize(("grace_s", "max_transit_s"), [(1.5, 0.6), (2.0, 0.5), (3.0, 0.5), (3.5, 0.8)])
+def test_urgent_messages_sent_whenever_they_are_due_never_use_up_the_limit(grace_s, max_transit_s):
+    # Guards against tables that stand still for seconds because removals have used up the messages of their proxies.
+    overrides = {"drain_grace_us": round(grace_s * SECOND), "max_transit_us": round(max_transit_s * SECOND)}
+    backlog = BacklogEstimator(assigner_config(max_messages_per_proxy=30, lines_per_s=1e6, **overrides))
+    times = []
+    for now in range(START, START + 60 * SECOND, SECOND // 100):
+        backlog.delivered = backlog.sent
+        if backlog.next_urgent_message_us(now, [5]) <= now:
+            assert backlog.free_lines(now, [5], urgent=True) > 0
+            backlog.reserve(now, [5], 1)
+            backlog.request_ack(0.0)
+            times.append(now)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert max(gaps) <= (overrides["drain_grace_us"] - overrides["max_transit_us"]) / 2 + SECOND // 100
+    assert all(sum(start <= time < start + 10 * SECOND for time in times) <= 30 for start in times)
--- a/tests/decisions/test_decisions_publisher.py
+++ b/tests/decisions/test_decisions_publisher.py
@@ -81,3 +81,32 @@
         rig.feed(api.TimerFired(0), after=0.2)
         assert backlog.sent - backlog.delivered <= usable_grace_lines + 80
     assert 0 < len(rig.assigner.tables.pending) < 20
+
+
+def test_removals_of_a_rolling_deploy_reach_all_tables_within_the_grace():
+    # Guards against tables that stand still once the first drains of a deploy have used up the limit on messages.
+    rig = AssignerRig(
+        tasks=118,
+        proxies=8,
+        max_messages_per_proxy=30,
+        drain_grace_us=round(1.5 * SECOND),
+        transit_us=SECOND // 4,
+        max_transit_us=round(0.6 * SECOND),
+        lines_per_s=2400.0,
+        max_waiting_lines=2400.0,
+    )
+    drained_at = {}
+    drain_times = [0.05 * number for number in range(18)] + [0.9 + 0.218 * number for number in range(92)]
+    began = rig.now
+    for _step in range(24 * 20):
+        events = [api.TimerFired(0)]
+        events += [api.Ack(0, command.mark, SECOND // 4) for command in rig.commands if type(command) is api.RequestAck]
+        while len(drained_at) < len(drain_times) and drain_times[len(drained_at)] <= (rig.now - began) / SECOND:
+            task = len(drained_at)
+            drained_at[task] = rig.now
+            events.append(endpoint_list_update([make_endpoint(task, state=DRAINING)], api.UpdateKind.DELTA))
+        rig.feed(*events, after=0.05)
+        listed = {task for table in rig.tables.values() for task in table}
+        waiting_us = [rig.now - drained_at[task] for task in listed & drained_at.keys()]
+        assert max(waiting_us, default=0) <= rig.config.drain_grace_us - rig.config.max_transit_us
+    assert len(drained_at) == 110
