Task names in load reports are bounded before they are cached

Need: a client with ever new task names of 0.9 MB made serve grow to 337 MB with 300 reports, without end. Cause: the look-up cached up to 100,000 names of any length. Change: a name of over 64 characters is not looked up.

--- a/hollyridge/service.py
+++ b/hollyridge/service.py
@@ -39,6 +39,7 @@
 from hollyridge.solver.engine_adapter import fleet_of, without_removed_tasks
 
 MAX_CACHED_NAMES = 100_000  # task names in load reports whose parsed keys are cached
+MAX_TASK_NAME_CHARS = 64  # longest address and port, with room for a zone of IPv6
 
 
 class ServiceEnvironment(NamedTuple):
@@ -240,6 +241,8 @@
         def task(name: str) -> int | None:
             key = key_by_name.get(name)
             if key is None:
+                if len(name) > MAX_TASK_NAME_CHARS:
+                    return None
                 host, _, port = name.rpartition(":")
                 try:
                     key = Member.at(host.strip("[]"), int(port)).key
--- a/tests/test_service_hostile_clients.py
+++ b/tests/test_service_hostile_clients.py
@@ -1,6 +1,7 @@
 """The process `hollyridge serve` while clients flood it, or leave requests unfinished or connections idle."""
 
 import gzip
+import http.client
 import socket
 import time
 
@@ -177,3 +178,15 @@
     for _ in range(3):
         process.get_status(DRAIN_GRACE_S)
     flood.stop()
+
+
+def test_reports_on_tasks_with_very_long_names_leave_nothing_behind(serve):
+    # Guards against a cache of names that holds as many megabytes as a client likes.
+    process = serve()
+    connection = http.client.HTTPConnection("127.0.0.1", process.ports["otlp"], timeout=10)
+    for number in range(200):
+        body = report("127.1.0.1:" + " " * 900_000 + str(1 + number)).partition(b"\r\n\r\n")[2]
+        connection.request("POST", "/v1/metrics", body, {"Content-Type": "application/x-protobuf"})
+        assert connection.getresponse().read()
+    connection.close()
+    assert process.memory.peak_mb < MEMORY_LIMIT_MB
