Members whose index was reused leave no entry behind

Need: each address that ever registered and was removed left an entry in the map of who registered it. Cause: the entry was dropped with the member's index, which a newer member had taken over by then. Change: an index that gets a new member drops the entry of the former one.

--- a/hollyridge/sasp/registration.py
+++ b/hollyridge/sasp/registration.py
@@ -127,12 +127,19 @@
             if task >= 0:
                 if new:
                     added.append(member.key)
-                self.by_task[task] = member._replace(label="")
+                self._set_member(task, member)
             # With the index 0, a member without a zone is refused for the missing zone, not because the list is full.
             listed_task = max(task, 0) if zone < 0 else task
             requests.append(members.MemberRequest(member.key, listed_task, zone, member.label, registers_itself))
         return Allocation(tuple(requests), tuple(added))
 
+    def _set_member(self, task: int, member: codec.Member) -> None:
+        """Record the member of an index, and forget the former one if the index was reused."""
+        former = self.by_task.get(task)
+        if former is not None and former.key != member.key:
+            self.registered_by_balancer.pop(former.key, None)
+        self.by_task[task] = member._replace(label="")
+
     def deregister(self, connection: Connection, message: codec.Deregister) -> int:
         """Deregister members and return the return code."""
         code = self._authorize_all(connection, message.by_balancer, (batch.group for batch in message.groups))
--- a/tests/sasp/test_sasp_server.py
+++ b/tests/sasp/test_sasp_server.py
@@ -277,3 +277,18 @@
     held, _ = started_rig.held_after(gw, seconds=3.5)
     assert held == ALL
     assert started_rig.protocol_server.counts["frames_in"] < 200
+
+
+def test_members_whose_index_was_reused_are_forgotten(rig):
+    # Guards against memory that grows with every address that ever registered.
+    started_rig = rig(proxies__tasks_most=2)
+    agent = started_rig.open(MemberRegistrar, "shelf")
+    for number in range(50):
+        member = Member.at("127.1.0.1", 9000 + number, f"t run={number} up=100")
+        agent.register([member])
+        agent.deregister([member])
+        started_rig.engine.task_indices.released = {
+            name: released._replace(until_us=0) for name, released in started_rig.engine.task_indices.released.items()
+        }
+    requests = started_rig.protocol_server.member_requests
+    assert len(requests.registered_by_balancer) <= len(requests.by_task) <= 4
