Reception of report bodies has a module of its own

Change: body_receiver reads and decodes bodies within the limits; intake passes points on. No behavior changes.

--- a/hollyridge/otlp/intake.py
+++ b/hollyridge/otlp/intake.py
@@ -6,13 +6,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
-from contextlib import ExitStack, nullcontext
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
-import gevent
 from gevent import socket
 from google.protobuf import json_format
 from google.protobuf.message import Message
@@ -24,12 +21,12 @@
 
 from hollyridge.core.event_loop import EventLoop
 from hollyridge.limits.fair_share import FairShareLimiter
+from hollyridge.otlp.body_receiver import BodyReceiver
 from hollyridge.otlp.errors import BadRequestError
-from hollyridge.otlp.http_connections import CONNECTION_KEY, HttpServer, HttpServerConfig
+from hollyridge.otlp.http_connections import HttpServer, HttpServerConfig
 from hollyridge.otlp.http_server import JSON, PROTOBUF, HttpRequest, HttpResponse, send
-from hollyridge.otlp.large_bodies import LARGE_BODY_BYTES, LargeBodies
 from hollyridge.otlp.reading import ALREADY_COUNTED, NOT_ALLOWED, AttributeNames, CumulativeState, read_points
-from hollyridge.otlp.request_body import BodyEncoding, BodyLimits, content_length, decode_body, is_large, read_body
+from hollyridge.otlp.request_body import BodyEncoding, BodyLimits
 from hollyridge.sessions.access import AccessControl
 
 if TYPE_CHECKING:
@@ -106,12 +103,11 @@
         self.actions = options.actions
         self.access = options.access
         self.log = log
-        self.body_limits = BodyLimits(config.max_body_bytes, config.body_timeout_s)
+        self.bodies = BodyReceiver(BodyLimits(config.max_body_bytes, config.body_timeout_s))
         self.cumulative = CumulativeState(loop.engine.limits.max_series)
         self.fair_share = FairShareLimiter(config.points_per_s, FAIR_SHARE_PERIOD_US, config.max_connections)
         self.counts = dict.fromkeys(("requests", "points", "rejected", "bad", "slowed"), 0)
         self.uncounted: dict[str, int] = {}  # number of data points that did not count, by reason
-        self.large_bodies = LargeBodies(config.max_body_bytes, time.monotonic)
         server_config = HttpServerConfig((config.host, config.port), config.max_connections, config.body_timeout_s)
         self.server = HttpServer(server_config, self.serve, loop.input_turns, options.wrap_tls)
 
@@ -207,55 +203,10 @@
                 "more points a second than are read of one sender now; come again",
                 retry_after_us,
             )
-        if 0 <= content_length(request.environ) <= LARGE_BODY_BYTES:
-            response = self.count_body(self.read(request), encoding, request, source)
-        else:
-            response = self.receive_large_body(encoding, request, source)
+        with self.bodies.receive(request.environ, encoding) as export:
+            response = self.count_points(export, request, source)
         return serialize(response, request.is_json)
 
-    def receive_large_body(
-        self, encoding: BodyEncoding, request: HttpRequest, source: str
-    ) -> ExportMetricsServiceResponse:
-        """Read a body that may be large, pass its data points to the engine and return the response.
-
-        Raises:
-            BadRequestError: The report is rejected, or other large bodies kept it waiting for too long.
-        """
-        with ExitStack() as stack:
-            try:
-                with gevent.Timeout(self.config.body_timeout_s, TimeoutError):
-                    body = stack.enter_context(self.large_bodies.place(request.environ[CONNECTION_KEY].abort))
-            except TimeoutError:
-                raise BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "too many large bodies at once") from None
-            raw = self.read(request)
-            body.arriving = False
-            return self.count_body(raw, encoding, request, source)
-
-    def count_body(
-        self, raw: bytes, encoding: BodyEncoding, request: HttpRequest, source: str
-    ) -> ExportMetricsServiceResponse:
-        """Decode the body of a report, pass its data points to the engine and return the response.
-
-        Raises:
-            BadRequestError: The body is invalid or too large.
-        """
-        with self.large_bodies.decoding if is_large(raw, encoding) else nullcontext():
-            export = decode_body(raw, encoding, self.config.max_body_bytes)
-            return self.count_points(export, request, source)
-
-    def read(self, request: HttpRequest) -> bytes:
-        """Read the body of a request; its connection makes room for newer ones meanwhile.
-
-        Raises:
-            BadRequestError: The body cannot be read.
-        """
-        handler = request.environ[CONNECTION_KEY]
-        handler.connections.await_body(handler)
-        try:
-            return read_body(request.environ, self.body_limits)
-        finally:
-            handler.connections.resume(handler)
-
     def names_for(self, principal: str) -> AttributeNames:
         """Return look-ups that reject the zones and proxies for which this principal may not report."""
         if self.access.unrestricted:
