Messages are decoded for one turn at a time, and unread heartbeat replies are bounded lower

Need: 390 joined proxies that repeated heartbeats and read nothing made the node grow from 33 to 123 MB; with some 800 the limit of 192 MB is near. Cause: a connection that waited for its turn held all messages of a read decoded (1,365 of 12 bytes, some 200 KB), and up to 64 KiB of replies. Change: FrameReader decodes at most the messages of one turn, and heartbeats get no reply from 16 KiB unread on.

--- a/hollyridge/resp/codec.py
+++ b/hollyridge/resp/codec.py
@@ -20,6 +20,7 @@
 ARRAY_PREFIX = ord("*")
 BULK_STRING_PREFIX = ord("$")
 UNKNOWN = -1
+UNLIMITED = 1 << 30
 
 
 class RespError(HollyridgeError):
@@ -66,10 +67,11 @@
         """Return the bytes of the incomplete message that are held."""
         return len(self.buffer) + self.decoded_bytes
 
-    def feed(self, chunk: bytes) -> list[list[bytes]]:
+    def feed(self, chunk: bytes, max_messages: int = UNLIMITED) -> list[list[bytes]]:
         """Return the messages that this chunk completes.
 
-        If the chunk holds messages before invalid input, they are returned and the error is stored in `fault`.
+        If the chunk holds messages before invalid input, they are returned and the error is stored in `fault`. Messages
+        beyond `max_messages` stay undecoded; a call with an empty chunk returns them.
 
         Raises:
             RespError: The input is invalid and no message precedes the invalid part.
@@ -77,7 +79,7 @@
         messages: list[list[bytes]] = []
         if self.fault is None:
             try:
-                self._parse(chunk, messages)
+                self._parse(chunk, messages, max_messages)
             except RespError as error:
                 self.fault = error
                 self.buffer.clear()
@@ -85,12 +87,12 @@
             raise self.fault
         return messages
 
-    def _parse(self, chunk: bytes, messages: list[list[bytes]]) -> None:
+    def _parse(self, chunk: bytes, messages: list[list[bytes]], max_messages: int) -> None:
         buffer = self.buffer
         buffer += chunk
         position = 0
         end = len(buffer)
-        while position < end:
+        while position < end and len(messages) < max_messages:
             if self.part_bytes < 0:
                 next_position = self._read_header(position)
             else:
--- a/hollyridge/resp/message_receiver.py
+++ b/hollyridge/resp/message_receiver.py
@@ -7,7 +7,7 @@
 import gevent
 
 from hollyridge.core.event_loop import EventLoop
-from hollyridge.core.input_turns import TurnCounter
+from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN, TurnCounter
 from hollyridge.core.peer_state import has_peer_closed
 from hollyridge.limits.buffer_budget import BufferBudget
 from hollyridge.limits.pending_connections import PendingConnections
@@ -60,7 +60,10 @@
                 return
             connection.last_received_us = self.clock()
             self.pending.mark_active(connection.number)
-            self._handle_messages(connection, reader.feed(chunk), counter)
+            messages = reader.feed(chunk, MAX_MESSAGES_PER_TURN)
+            while messages and not connection.close_reason:
+                self._handle_messages(connection, messages, counter)
+                messages = [] if reader.fault is not None else reader.feed(b"", MAX_MESSAGES_PER_TURN)
             if reader.fault is not None and not connection.close_reason:
                 raise reader.fault
             if connection.joined:
--- a/hollyridge/resp/server.py
+++ b/hollyridge/resp/server.py
@@ -35,7 +35,7 @@
     from structlog.typing import FilteringBoundLogger
 
 HEARTBEAT_REPLY = encode([b"hb_ok"])
-MAX_UNSENT_BYTES = 65536  # heartbeats get no reply while a peer leaves this many bytes unread
+MAX_UNSENT_BYTES = 16384  # heartbeats get no reply while a peer leaves this many bytes unread
 SEND_BUFFER_BYTES = 32768  # SO_SNDBUF of a connection; a larger buffer would only hide that a reader is slow
 MIN_PENDING_CONNECTIONS = 8  # allowed however many have joined; the reserved descriptors leave room for them
 MIN_CONNECTIONS = 16  # allowed however few descriptors are available
--- a/tests/node/test_node_hostile_clients.py
+++ b/tests/node/test_node_hostile_clients.py
@@ -1,5 +1,6 @@
 """The node process while clients flood it or leave large messages unfinished."""
 
+import contextlib
 import socket
 import time
 
@@ -114,3 +115,26 @@
     assert proxy.receive() is not None  # its small unfinished message does not count
     assert memory.peak_mb < MEMORY_LIMIT_MB
     assert assigner.stop()[0] == 0
+
+
+def test_floods_of_hundreds_of_proxies_that_read_nothing_stay_within_the_memory_limit(tmp_path):
+    # Guards against decoded messages and unread replies that are held for each of very many connections.
+    discovery = DiscoveryServer(LIST)
+    settings = {**SETTINGS, "family_info": {**SETTINGS["family_info"], "agents": 900}}
+    assigner = NodeProcess(tmp_path, discovery.address, known=LIST, sockets=1024, settings=settings).wait_until_ready()
+    memory = PeakMemory(assigner.process)
+    sockets = []
+    for number in range(800):
+        sockets.append(socket.create_connection(("127.0.0.1", assigner.port), timeout=10))
+        sockets[-1].sendall(message("attach", node=number, locality=ZONES[0], w=5.0, cold=1))
+        sockets[-1].setblocking(False)
+    end_s = time.monotonic() + 4
+    heartbeats = message("hb") * 2000
+    while time.monotonic() < end_s:
+        for sock in sockets:
+            with contextlib.suppress(OSError):  # its buffer is full
+                sock.send(heartbeats)
+    assert memory.peak_mb < MEMORY_LIMIT_MB
+    assert assigner.process.poll() is None
+    assigner.process.kill()
+    discovery.stop()
--- a/tests/resp/test_resp_codec.py
+++ b/tests/resp/test_resp_codec.py
@@ -78,3 +78,17 @@
     assert codec.MAX_MESSAGE_BYTES == 1 << 20
     reader = FrameReader()
     assert reader.feed(encode([b"assign", b"x" * (codec.MAX_MESSAGE_BYTES - 40)]))
+
+
+def test_messages_beyond_a_maximum_stay_undecoded_until_asked_for():
+    # Guards against connections that each hold thousands of decoded messages while they wait for their turn.
+    reader = FrameReader()
+    messages = [[b"hb"], [b"done", b"node", b"1"], [b"x" * 50]]
+    data = b"".join(map(encode, messages)) * 4
+    assert reader.feed(data, 5) == (messages * 4)[:5]
+    assert reader.held_bytes == len(data) - sum(len(encode(parts)) for parts in (messages * 4)[:5])
+    assert reader.feed(b"", 5) == (messages * 4)[5:10]
+    assert reader.feed(b"", 5) == (messages * 4)[10:]
+    assert reader.feed(b"", 5) == []
+    assert reader.feed(encode([b"hb"]) + b"!", 5) == [[b"hb"]]
+    assert reader.fault is not None
