Flooding clients of the tests end by themselves after a minute

Need: a test that failed before it ended its flood left the client running. Change: the client ends itself after 60 s.

--- a/tests/flooding_client.py
+++ b/tests/flooding_client.py
@@ -1,10 +1,11 @@
-"""Program that floods an address until it is killed: `flooding_client.py KIND HOST PORT SOURCE FILE`.
+"""Program that floods an address until it is killed, or for a minute: `flooding_client.py KIND HOST PORT SOURCE FILE`.
 
 It is a process of its own, since tests run in a process whose threads may be greenlets that would have to give way.
 KIND is tcp, udp or zmq; FILE holds a pickled `Payload`.
 """
 
 import contextlib
+import os
 import pickle
 import socket
 import sys
@@ -14,6 +15,7 @@
 from typing import NamedTuple
 
 RECONNECT_PAUSE_S = 0.01
+MAX_DURATION_S = 60.0  # a test that fails before it ends the client must not leave it behind
 
 
 class Payload(NamedTuple):
@@ -65,6 +67,9 @@
 
 
 if __name__ == "__main__":
+    limit = threading.Timer(MAX_DURATION_S, os._exit, (1,))
+    limit.daemon = True
+    limit.start()
     kind, host, port, source_address, path = sys.argv[1:]
     with open(path, "rb") as file:
         loaded = pickle.load(file)
