One counter of turns serves all servers; the size of a report body is judged once

Pub-sub and the peer address counted messages by hand beside TurnCounter, which now takes the function that waits; gzip reports were decompressed twice to learn whether they are large; SASP checked twice whether a waiting peer has left; the watch had a pause of its own with the same value. No behavior changes.

--- a/hollyridge/chp/server.py
+++ b/hollyridge/chp/server.py
@@ -25,7 +25,7 @@
 from hollyridge.chp.session_registry import JoinRequest, SessionRegistry
 from hollyridge.chp.sockets import ReceivedMessage, ServerSockets
 from hollyridge.core.event_loop import EventLoop
-from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN, PAUSE_S
+from hollyridge.core.input_turns import PAUSE_S, TurnCounter
 from hollyridge.delivery.update_builder import ProxyUpdate, ServerCapabilities
 from hollyridge.keys.curve import Curve
 from hollyridge.limits.connection_limiter import ConnectionLimiter
@@ -143,16 +143,14 @@
 
     def _handle_messages(self, sock: zmq.Socket, handle: Callable[[ReceivedMessage], None]) -> None:
         """Handle the messages of a socket in turns, so that a flood leaves time for all other work of the process."""
-        handled = 0
+        counter = TurnCounter(lambda: self.loop.sleep(PAUSE_S))
         while True:
             received = self.sockets.receive(sock)
             try:
                 handle(received)
             except ChpError as error:
                 self._note_malformed(received.address, str(error))
-            handled += 1
-            if handled % MAX_MESSAGES_PER_TURN == 0:
-                self.loop.sleep(PAUSE_S)
+            counter.count()
 
     def _answer(self, received: ReceivedMessage) -> None:
         routing_id, *parts = received.parts
--- a/hollyridge/core/input_turns.py
+++ b/hollyridge/core/input_turns.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 from gevent.lock import BoundedSemaphore
 
@@ -29,14 +31,14 @@
 
 
 class TurnCounter:
-    """Counter of the messages that one connection has had handled in its present turn.
+    """Counter of the messages that one connection or socket has had handled in its present turn.
 
     Args:
-        turns: The turns of all connections.
+        wait: Function that waits for the next turn.
     """
 
-    def __init__(self, turns: InputTurns) -> None:
-        self.turns = turns
+    def __init__(self, wait: Callable[[], None]) -> None:
+        self.wait = wait
         self.handled = 0
 
     def count(self) -> bool:
@@ -45,7 +47,7 @@
         if self.handled < MAX_MESSAGES_PER_TURN:
             return False
         self.handled = 0
-        self.turns.wait()
+        self.wait()
         return True
 
     def restart(self) -> None:
--- a/hollyridge/discovery/timing.py
+++ b/hollyridge/discovery/timing.py
@@ -6,7 +6,7 @@
 MAX_PROPAGATION_HEARTBEATS = 3.0  # heartbeat intervals within which every change reaches every watcher (6 s)
 MAX_PROPAGATION_US = round(MAX_PROPAGATION_HEARTBEATS * HEARTBEAT_INTERVAL_US)
 MIN_RETRY_DELAY_LIMIT_US = 300_000  # the limit on the delay never falls below this, so as not to overload discovery
-MAX_UPDATE_DELAY_GRACES = 0.25  # part of the drain grace by which the decisions may delay a removal
+REMOVAL_DELAY_FRACTION = 0.25  # part of the drain grace by which the decisions may delay a removal behind a long queue
 
 
 def max_retry_delay_us(drain_grace_us: int, max_transit_us: int) -> int:
@@ -22,5 +22,5 @@
         drain_grace_us: Time for which a draining task may still get requests, in microseconds.
         max_transit_us: Longest transit time of a message to a proxy, in microseconds.
     """
-    time_left_us = round(drain_grace_us * (1 - MAX_UPDATE_DELAY_GRACES)) - max_transit_us
+    time_left_us = round(drain_grace_us * (1 - REMOVAL_DELAY_FRACTION)) - max_transit_us
     return max(MIN_RETRY_DELAY_LIMIT_US, time_left_us)
--- a/hollyridge/discovery/watch_client.py
+++ b/hollyridge/discovery/watch_client.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from hollyridge.core.event_loop import EventLoop
+from hollyridge.core.input_turns import PAUSE_S
 from hollyridge.discovery.endpoint_list import EndpointListReceived, EndpointListTracker, WatchFailed
 from hollyridge.discovery.schema import EndpointListError, read
 from hollyridge.discovery.watch_state import WatchAction, WatchInput, WatchState
@@ -23,7 +24,6 @@
 MAX_HEAD_BYTES = 16384  # status line and header of the response
 RECEIVE_BYTES = 65536  # bytes per read from the socket
 MIN_WAIT_S = 0.005  # interval between two ticks of the state machine, however close its deadline
-PAUSE_S = 0.001  # between reads of a long list; a timer, so that sockets and timers are served meanwhile
 HTTP_OK = 200
 US_PER_S = 1e6
 
--- a/hollyridge/otlp/body_receiver.py
+++ b/hollyridge/otlp/body_receiver.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager, nullcontext
+from contextlib import ExitStack, contextmanager
 from http import HTTPStatus
 
 import gevent
@@ -36,8 +36,10 @@
         """
         with ExitStack() as stack:
             raw = self._read(environ, stack)
-            stack.enter_context(self.large_bodies.decoding if is_large(raw, encoding) else nullcontext())
-            yield decode_body(raw, encoding, self.limits.max_bytes)
+            large = is_large(raw, encoding)
+            if large:
+                stack.enter_context(self.large_bodies.decoding)
+            yield decode_body(raw, encoding, self.limits.max_bytes, in_thread=large)
 
     def _read(self, environ: dict, stack: ExitStack) -> bytes:
         """Read a body; one that may be large holds a place until the stack is closed."""
--- a/hollyridge/otlp/request_body.py
+++ b/hollyridge/otlp/request_body.py
@@ -81,14 +81,16 @@
     return length
 
 
-def decode_body(raw: bytes, encoding: BodyEncoding, max_body_bytes: int) -> ExportMetricsServiceRequest:
-    """Decode a body, in a thread of the pool if it is large.
+def decode_body(
+    raw: bytes, encoding: BodyEncoding, max_body_bytes: int, in_thread: bool | None = None
+) -> ExportMetricsServiceRequest:
+    """Decode a body, in a thread of the pool if `in_thread`, which is by default whether the body is large.
 
     Raises:
         BadRequestError: The body is invalid or too large.
     """
     max_bytes = (MAX_JSON_INFLATION if encoding.is_json else MAX_INFLATION) * max_body_bytes
-    if is_large(raw, encoding):
+    if is_large(raw, encoding) if in_thread is None else in_thread:
         return gevent.get_hub().threadpool.apply(parse, (raw, encoding, max_bytes))
     return parse(raw, encoding, max_bytes)
 
--- a/hollyridge/peers/datagram_transport.py
+++ b/hollyridge/peers/datagram_transport.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import socket
 
-from hollyridge.core.input_turns import MAX_MESSAGES_PER_TURN, PAUSE_S
+from hollyridge.core.input_turns import PAUSE_S, TurnCounter
 from hollyridge.peers.codec import MAX_PACKET_BYTES
 
 READ_BYTES = MAX_PACKET_BYTES + 1  # the additional byte reveals that a datagram is too long
@@ -56,15 +56,12 @@
         self._socket.close()
 
     def _read(self) -> None:
-        handled = 0
+        counter = TurnCounter(lambda: gevent.sleep(PAUSE_S))  # a flood must leave time for other work of the process
         while True:
-            if handled == MAX_MESSAGES_PER_TURN:  # a flood must leave time for all other work of the process
-                handled = 0
-                gevent.sleep(PAUSE_S)
             try:
                 raw, (host, port, *_) = self._socket.recvfrom(READ_BYTES)
             except OSError:
                 gevent.sleep(ERROR_PAUSE_S)
                 continue
             self._on_datagram(f"{host}:{port}", raw)
-            handled += 1
+            counter.count()
--- a/hollyridge/resp/message_receiver.py
+++ b/hollyridge/resp/message_receiver.py
@@ -53,7 +53,7 @@
             RespError: The peer sent invalid RESP2.
         """
         reader = FrameReader(MAX_UNJOINED_MESSAGE_BYTES)
-        counter = TurnCounter(self.turns)
+        counter = TurnCounter(self.turns.wait)
         while not connection.close_reason:
             chunk = connection.sock.recv(RECEIVE_BYTES)
             if not chunk or connection.close_reason:
--- a/hollyridge/sasp/transport.py
+++ b/hollyridge/sasp/transport.py
@@ -63,7 +63,7 @@
         """Read requests and pass them to the server; OSError and SaspError end the connection."""
         framer = codec.Framer(self.config.max_message_bytes)
         requests = self.server.limiter.request_bucket()
-        counter = TurnCounter(self.server.loop.input_turns)
+        counter = TurnCounter(self.server.loop.input_turns.wait)
         opened_us = self.clock()
         frame_began_us = opened_us
         while not connection.close_reason:
@@ -106,17 +106,14 @@
 
         A peer that leaves meanwhile has its connection closed, so that its requests are not handled afterwards.
         """
-        waited = counter.count()
+        if counter.count():
+            self._close_if_left(connection)
         while not requests.take(self.clock()) and not connection.close_reason:
-            waited = True
             gevent.sleep(BACKPRESSURE_SLEEP_S)
             self._close_if_left(connection)
         while len(connection.replies) >= MAX_WAITING_REPLIES and not connection.close_reason:
-            waited = True
             gevent.sleep(BACKPRESSURE_SLEEP_S)
             self._close_if_left(connection)
-        if waited:
-            self._close_if_left(connection)
 
     @staticmethod
     def _close_if_left(connection: Connection) -> None:
