--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,9 @@
 
 
 def known_red_tests():
-    """Return the tests that KNOWN-RED.txt lists by their node ids."""
+    """Return the tests that KNOWN-RED.txt lists by their node ids; none if there is no such file."""
+    if not KNOWN_RED.exists():
+        return []
     entries = (line.split("|")[0].strip() for line in KNOWN_RED.read_text().splitlines() if not line.startswith("#"))
     return [entry for entry in entries if "::" in entry]
 
